--- /dev/null
+++ b/bergamotmill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: thin shells around the library."""
--- /dev/null
+++ b/bergamotmill/cli/main.py
@@ -0,0 +1,217 @@
+"""`bergamotmill`: the operators' command line."""
+
+import argparse
+import json
+import os
+import sys
+import time
+from typing import Any
+import urllib.parse
+
+import bergamotmill
+from bergamotmill import core
+from bergamotmill.cli import client
+from bergamotmill.cli import show
+from bergamotmill.helpers import json_file
+from bergamotmill.settings import config
+
+EXIT_OK = 0
+EXIT_FINDINGS = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_RACED = 4
+
+ENV_ADDRESS = "BERGAMOTMILL_OPERATORS"
+ENV_KEY = "BERGAMOTMILL_KEY"
+
+_EPILOG = f"""\
+The commands that ask a router take its operators' address from --address or
+{ENV_ADDRESS}, and the operator's key from {ENV_KEY}.
+
+Exit status: 0 done, 1 findings, 2 wrong usage, 3 no router answered or the
+outcome is not known, 4 another operator's release came first.
+
+Examples:
+  bergamotmill check settings.json
+  bergamotmill release diff note.json
+  bergamotmill release publish note.json
+  bergamotmill status
+  bergamotmill explain 3f2a...
+"""
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="bergamotmill",
+        description="Checks settings, publishes releases, and shows what the "
+        "fleet does and why.",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--version", action="version", version=bergamotmill.__version__
+    )
+    commands = parser.add_subparsers(dest="command", required=True)
+    check = commands.add_parser("check", help="check a settings file")
+    check.add_argument("file")
+    key = commands.add_parser("key-digest", help="digest of a key, for notes")
+    key.add_argument("key", help="the key; - reads it from standard input")
+    release = commands.add_parser("release", help="check and publish notes")
+    actions = release.add_subparsers(dest="action", required=True)
+    for name, text in (
+        ("check", "check a note against what is in force"),
+        ("diff", "show what a note would change"),
+        ("publish", "make a note the next release"),
+    ):
+        action = actions.add_parser(name, help=text)
+        action.add_argument("file")
+        _add_common(action)
+        if name == "publish":
+            action.add_argument(
+                "--dry-run", action="store_true", help="check and diff only"
+            )
+    _add_common(actions.add_parser("show", help="show what is in force"))
+    log = actions.add_parser("log", help="show the latest releases")
+    log.add_argument("--count", type=int, default=20)
+    _add_common(log)
+    status = commands.add_parser("status", help="show the fleet at a glance")
+    _add_common(status)
+    audit = commands.add_parser("audit", help="who changed what, and when")
+    audit.add_argument("--count", type=int, default=20)
+    _add_common(audit)
+    explain = commands.add_parser("explain", help="why a replica was chosen")
+    explain.add_argument("request", help="the answer's x-request-id")
+    _add_common(explain)
+    return parser
+
+
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--address", default=os.environ.get(ENV_ADDRESS, ""))
+    parser.add_argument("--json", action="store_true", help="print JSON")
+
+
+def _print_findings(found: list[Any], as_json: bool) -> int:
+    if as_json:
+        print(json.dumps({"findings": [str(item) for item in found]}))
+    else:
+        for item in found:
+            print(item, file=sys.stderr)
+    return EXIT_FINDINGS
+
+
+def _check(arguments: argparse.Namespace) -> int:
+    loaded = config.load(arguments.file)
+    if loaded.is_err():
+        return _print_findings(loaded.err(), False)
+    print(f"{arguments.file}: no findings.")
+    return EXIT_OK
+
+
+def _key_digest(arguments: argparse.Namespace) -> int:
+    key = arguments.key
+    if key == "-":
+        key = sys.stdin.readline().strip()
+    print(core.key_digest(key))
+    return EXIT_OK
+
+
+def _ask(
+    arguments: argparse.Namespace, method: str, target: str, body: Any = None
+) -> tuple[int, Any]:
+    """Returns an exit status and the router's answer."""
+    key = os.environ.get(ENV_KEY, "")
+    if not arguments.address or not key:
+        print(f"set {ENV_ADDRESS} and {ENV_KEY}", file=sys.stderr)
+        return EXIT_USAGE, None
+    answer = client.call(arguments.address, key, method, target, body)
+    if answer.is_err():
+        print(answer.err(), file=sys.stderr)
+        return EXIT_UNREACHABLE, None
+    status, value = answer.ok()
+    if status == 200:
+        return EXIT_OK, value
+    if arguments.json:
+        print(json.dumps(value))
+    else:
+        _print_error(value)
+    return _exit_of(status), None
+
+
+def _exit_of(status: int) -> int:
+    if status == 409:
+        return EXIT_RACED
+    if status in (404, 422):
+        return EXIT_FINDINGS
+    return EXIT_UNREACHABLE if status >= 500 else EXIT_USAGE
+
+
+def _print_error(value: Any) -> None:
+    print(value.get("error", value), file=sys.stderr)
+    for item in value.get("findings", ()):
+        line = f"{item['place']}: {item['found']}; expected {item['expected']}"
+        print(line, file=sys.stderr)
+    if "author" in value:
+        print(
+            f"release {value['number']} by {value['author']}: {value['title']}",
+            file=sys.stderr,
+        )
+
+
+def _release(arguments: argparse.Namespace) -> int:
+    if arguments.action == "show":
+        return _shown(arguments, "/release/show", show.configuration)
+    if arguments.action == "log":
+        return _shown(arguments, f"/audit?count={arguments.count}", show.audit)
+    read = json_file.read(arguments.file)
+    if read.is_err():
+        return _print_findings(read.err(), arguments.json)
+    source = urllib.parse.quote(os.path.basename(arguments.file))
+    action = arguments.action
+    if action == "publish" and arguments.dry_run:
+        action = "diff"
+    status, value = _ask(
+        arguments, "POST", f"/release/{action}?source={source}", read.ok()
+    )
+    if value is None:
+        return status
+    if arguments.json:
+        print(json.dumps(value))
+    elif action == "diff":
+        print("\n".join(value["changes"]) or "no change")
+    elif action == "check":
+        print(f"{arguments.file}: no findings.")
+    else:
+        print(f"release {value['number']} is accepted.")
+    return status
+
+
+def _shown(arguments: argparse.Namespace, target: str, printer) -> int:
+    status, value = _ask(arguments, "GET", target)
+    if value is None:
+        return status
+    if arguments.json:
+        print(json.dumps(value))
+    else:
+        printer(value, time.time())
+    return status
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the program and returns its exit status."""
+    arguments = _parser().parse_args(argv)
+    if arguments.command == "check":
+        return _check(arguments)
+    if arguments.command == "key-digest":
+        return _key_digest(arguments)
+    if arguments.command == "release":
+        return _release(arguments)
+    if arguments.command == "status":
+        return _shown(arguments, "/status", show.status)
+    if arguments.command == "audit":
+        return _shown(arguments, f"/audit?count={arguments.count}", show.audit)
+    request = urllib.parse.quote(arguments.request)
+    return _shown(arguments, f"/explain?request={request}", show.explanation)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bergamotmill/cli/router.py
@@ -0,0 +1,105 @@
+"""`bergamotmill-router`: one router as a process."""
+
+import argparse
+import asyncio
+import os
+import random
+import signal
+import sys
+import time
+
+import loguru
+
+import bergamotmill
+from bergamotmill import router as bergamotmill_router
+from bergamotmill.helpers import logs
+from bergamotmill.platform import key_value
+from bergamotmill.platform.gateway import config as _gateway  # noqa: F401
+from bergamotmill.platform.memory import config as _memory  # noqa: F401
+from bergamotmill.platform.vm_list import config as vm_config
+from bergamotmill.platform.vm_list import coordinator as _vm_list  # noqa: F401
+from bergamotmill.settings import config
+from bergamotmill.util import clock as clocks
+
+EXIT_OK = 0
+EXIT_CUT = 1
+EXIT_SETTINGS = 2
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="bergamotmill-router",
+        description="Runs one router until SIGTERM or SIGINT. The first "
+        "signal starts a graceful shutdown, a second one ends it at once.",
+    )
+    parser.add_argument(
+        "--settings", required=True, help="settings file, JSON with comments"
+    )
+    parser.add_argument(
+        "--version", action="version", version=bergamotmill.__version__
+    )
+    return parser
+
+
+async def _serve(settings: config.Settings) -> int:
+    store = key_value.DRIVERS.get(settings.key_value.driver)(settings.key_value)
+    vms = vm_config.DRIVERS.get(settings.vm_list.driver)(settings.vm_list)
+    router = bergamotmill_router.Router(
+        settings,
+        store,
+        vms,
+        clocks.SystemClock(),
+        random.Random(),
+        time.time_ns() // 1_000_000,
+    )
+    first = asyncio.Event()
+    second = asyncio.Event()
+
+    def on_signal() -> None:
+        if first.is_set():
+            second.set()
+        first.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    await router.start()
+    await first.wait()
+    loguru.logger.info("router: shutting down.")
+    graceful = asyncio.create_task(router.shut_down())
+    at_once = asyncio.create_task(second.wait())
+    await asyncio.wait({graceful, at_once}, return_when=asyncio.FIRST_COMPLETED)
+    whole = graceful.done() and graceful.exception() is None
+    whole = whole and graceful.result()
+    graceful.cancel()
+    at_once.cancel()
+    await router.close()
+    loguru.logger.info("router: {}.", "ended" if whole else "cut")
+    return EXIT_OK if whole else EXIT_CUT
+
+
+def _loop_factory():
+    os.environ["UV_USE_IO_URING"] = "0"
+    try:
+        import uvloop
+    except ImportError:
+        return None
+    return uvloop.new_event_loop
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the program and returns its exit status."""
+    arguments = _parser().parse_args(argv)
+    loaded = config.load(arguments.settings)
+    if loaded.is_err():
+        for finding in loaded.err():
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = loaded.ok()
+    logs.configure(settings.log.format, settings.log.level)
+    with asyncio.Runner(loop_factory=_loop_factory()) as runner:
+        return runner.run(_serve(settings))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bergamotmill/control/__init__.py
@@ -0,0 +1,1 @@
+"""How the routers act together."""
--- /dev/null
+++ b/bergamotmill/control/orders.py
@@ -0,0 +1,374 @@
+"""Orders to engines: which weights each replica is to hold.
+
+One router holds the lease for a shard and works towards the configuration.
+The lease's create revision is the fencing number of its orders. Orders state
+the wanted end, so that a repeat does no harm. Engines that ignore fencing
+numbers are protected by time: a holder stops giving orders well before its
+lease can have lapsed, and a new holder first waits out what an old one may
+still have on its way.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+import dataclasses
+import json
+import random
+
+import loguru
+import result
+
+from bergamotmill import core
+from bergamotmill.control import const
+from bergamotmill.control import history as fleet_history
+from bergamotmill.control import notes
+from bergamotmill.platform import key_value
+from bergamotmill.routing import view as fleet_view
+from bergamotmill.upstream.engine import config
+from bergamotmill.upstream.engine import const as engine_const
+from bergamotmill.util import clock as clocks
+
+Publish = Callable[[notes.Draft, str], Awaitable[result.Result]]
+SWITCH_AUTHOR = "bergamotmill"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Planned:
+    """An order and why it is given."""
+
+    replica: str
+    order: config.Order
+    reason: str
+
+
+def plan(
+    configuration: core.Configuration,
+    reports: Mapping[str, config.LoadReport],
+    max_loading: int,
+    fencing: int,
+) -> list[Planned]:
+    """Returns the orders that bring the fleet nearer to its configuration.
+
+    At most `max_loading` replicas load at once. Empty replicas come first.
+    While an older version is still in service, enough replicas keep it.
+    """
+    loading = sum(1 for report in reports.values() if _is_loading(report))
+    orders: list[Planned] = []
+    for model in sorted(configuration.models.values(), key=_by_name):
+        wrong = _wrong_replicas(configuration, reports, model)
+        for name, reason in wrong:
+            if loading >= max_loading:
+                return orders
+            if not _may_switch(configuration, reports, model, name, orders):
+                continue
+            order = config.Order(
+                "load", model.name, model.version, fencing, model.adapters
+            )
+            orders.append(Planned(name, order, reason))
+            loading += 1
+    orders.extend(_unloads(configuration, reports, fencing))
+    return orders
+
+
+def _by_name(model: core.Model) -> str:
+    return model.name
+
+
+def _is_loading(report: config.LoadReport) -> bool:
+    return any(
+        model.state is config.ModelState.LOADING
+        for model in report.models.values()
+    )
+
+
+def _wrong_replicas(
+    configuration: core.Configuration,
+    reports: Mapping[str, config.LoadReport],
+    model: core.Model,
+) -> list[tuple[str, str]]:
+    """Returns replicas that lack the wanted version, the emptiest first."""
+    empty = []
+    old = []
+    for name, replica in sorted(configuration.replicas.items()):
+        report = reports.get(name)
+        if report is None or not replica.orders or report.draining:
+            continue
+        if model.name not in replica.models:
+            continue
+        held = report.models.get(model.name)
+        if held is None:
+            empty.append((name, "empty"))
+        elif held.state is config.ModelState.LOADING:
+            continue
+        elif held.version != model.version:
+            old.append((name, f"holds {held.version}"))
+        elif dict(held.adapters) != dict(model.adapters):
+            old.append((name, "other adapters"))
+    return empty + old
+
+
+def _may_switch(
+    configuration: core.Configuration,
+    reports: Mapping[str, config.LoadReport],
+    model: core.Model,
+    name: str,
+    orders: list[Planned],
+) -> bool:
+    """Whether loading here leaves enough replicas serving the model."""
+    if not _is_ready(reports[name], model, model.served_version):
+        return True
+    taken = {item.replica for item in orders if item.order.model == model.name}
+    left = sum(
+        1
+        for other, report in reports.items()
+        if other != name
+        and other not in taken
+        and _is_ready(report, model, model.served_version)
+    )
+    able = sum(
+        1
+        for replica in configuration.replicas.values()
+        if model.name in replica.models
+    )
+    if able == 1:
+        return True
+    return left >= max(1, min(model.min_ready, able - model.min_ready))
+
+
+def _is_ready(
+    report: config.LoadReport, model: core.Model, version: str
+) -> bool:
+    held = report.models.get(model.name)
+    return (
+        held is not None
+        and held.version == version
+        and held.state is config.ModelState.READY
+        and not report.draining
+    )
+
+
+def switches(
+    configuration: core.Configuration,
+    reports: Mapping[str, config.LoadReport],
+) -> dict[str, str]:
+    """Returns models whose wanted version is ready to serve.
+
+    A version serves once enough replicas are ready with it, or when none is
+    left with the version in service. It never goes back from there.
+    """
+    found = {}
+    for model in configuration.models.values():
+        if model.served_version == model.version:
+            continue
+        ready = sum(
+            _is_ready(report, model, model.version)
+            for report in reports.values()
+        )
+        left = sum(
+            _is_ready(report, model, model.served_version)
+            for report in reports.values()
+        )
+        if ready >= model.min_ready or (ready > 0 and left == 0):
+            found[model.name] = model.version
+    return found
+
+
+def _unloads(
+    configuration: core.Configuration,
+    reports: Mapping[str, config.LoadReport],
+    fencing: int,
+) -> list[Planned]:
+    orders = []
+    for name, replica in sorted(configuration.replicas.items()):
+        report = reports.get(name)
+        if report is None or not replica.orders:
+            continue
+        for model in report.models.values():
+            if model.name in replica.models:
+                continue
+            order = config.Order("unload", model.name, model.version, fencing)
+            orders.append(Planned(name, order, "withdrawn"))
+    return orders
+
+
+class Holder:
+    """The lease under which orders are given."""
+
+    def __init__(
+        self,
+        store: key_value.KeyValueStore,
+        key: str,
+        value: bytes,
+        clock: clocks.Clock,
+    ):
+        self._store = store
+        self._key = key
+        self._value = value
+        self._clock = clock
+        self._lease = 0
+        self._until = 0.0
+        self._fencing = 0
+        self._taken_at = 0.0
+
+    @property
+    def fencing(self) -> int:
+        """The fencing number; grows from holder to holder."""
+        return self._fencing
+
+    def time_left(self) -> float:
+        """Returns seconds for which orders may surely be given."""
+        if not self._fencing:
+            return 0.0
+        return self._until - const.HOLDER_MARGIN_S - self._clock.boottime()
+
+    def settled(self) -> bool:
+        """Whether an older holder's last orders have surely arrived."""
+        waited = self._clock.boottime() - self._taken_at
+        return waited >= engine_const.ORDER_TIMEOUT_S
+
+    async def keep(self) -> bool:
+        """Takes or renews the lease; False when it is not held."""
+        # The lease counts from before the call, lest the answer was slow.
+        before = self._clock.boottime()
+        if self._fencing:
+            renewed = await self._store.renew(self._lease)
+            if renewed.is_ok() and renewed.ok():
+                self._until = before + const.HOLDER_LEASE_S
+                return self.time_left() > 0
+            if renewed.is_err():
+                return self.time_left() > 0
+            self._fencing = 0
+        return await self._take()
+
+    async def _take(self) -> bool:
+        before = self._clock.boottime()
+        found = await self._store.get(self._key)
+        if found.is_err() or found.ok() is not None:
+            return False
+        granted = await self._store.grant(const.HOLDER_LEASE_S)
+        if granted.is_err():
+            return False
+        lease = granted.ok()
+        written = await self._store.put(self._key, self._value, 0, lease)
+        if written.is_err():
+            # The put may have taken effect; the lease takes it away again.
+            await self._store.revoke(lease)
+            return False
+        self._lease = lease
+        self._fencing = written.ok()
+        self._until = before + const.HOLDER_LEASE_S
+        self._taken_at = self._clock.boottime()
+        return self.time_left() > 0
+
+    async def release(self) -> None:
+        """Gives the lease up, so that another may take it at once."""
+        if self._fencing:
+            self._fencing = 0
+            await self._store.revoke(self._lease)
+
+
+class OrderDesk:
+    """Works towards the configuration while it holds the lease."""
+
+    def __init__(
+        self,
+        holder: Holder,
+        view: fleet_view.FleetView,
+        links: Mapping[str, object],
+        max_loading: int,
+        history: fleet_history.History,
+        publish: Publish,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ):
+        self._holder = holder
+        self._view = view
+        self._links = links
+        self._max_loading = max_loading
+        self._history = history
+        self._publish = publish
+        self._clock = clock
+        self._rng = rng
+        self._configuration = core.empty_configuration()
+        self._given: dict[tuple[str, str, str], float] = {}
+
+    @property
+    def holding(self) -> bool:
+        """Whether this router gives the orders."""
+        return self._holder.time_left() > 0
+
+    def adopt(self, configuration: core.Configuration) -> None:
+        """Follows the configuration."""
+        self._configuration = configuration
+
+    async def run(self) -> None:
+        """Keeps the lease and gives orders for ever."""
+        while True:
+            if self._configuration.number > 0 and await self._holder.keep():
+                await self.step()
+            pause = const.ORDER_PERIOD_S
+            if not self.holding:
+                pause = const.HOLDER_RENEW_S
+            await asyncio.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    async def step(self) -> None:
+        """Gives the orders that are due."""
+        if not self._holder.settled():
+            return
+        reports = {
+            name: view.load.report
+            for name, view in self._view.views.items()
+            if view.load.report is not None
+            and view.health.usable(self._clock.monotonic())
+        }
+        planned = plan(
+            self._configuration,
+            reports,
+            self._max_loading,
+            self._holder.fencing,
+        )
+        due = [item for item in planned if self._due(item)]
+        await asyncio.gather(*(self._give(item) for item in due))
+        for model, version in switches(self._configuration, reports).items():
+            if self._holder.time_left() > 0:
+                await self._switch(model, version)
+
+    async def _switch(self, model: str, version: str) -> None:
+        draft = notes.Draft(
+            f"{model} {version} is ready",
+            {},
+            {core.KIND_MODELS: {model: {"serving": version}}},
+            {},
+        )
+        published = await self._publish(draft, SWITCH_AUTHOR)
+        if published.is_ok():
+            self._history.add("rollout", f"{model} serves {version}")
+
+    def _due(self, item: Planned) -> bool:
+        key = (item.replica, item.order.model, item.order.version)
+        last = self._given.get(key, -const.ORDER_RETRY_S)
+        return self._clock.monotonic() - last >= const.ORDER_RETRY_S
+
+    async def _give(self, item: Planned) -> None:
+        link = self._links.get(item.replica)
+        # Checked right before the write: this router may have been paused.
+        if link is None or self._holder.time_left() <= 0:
+            return
+        key = (item.replica, item.order.model, item.order.version)
+        self._given[key] = self._clock.monotonic()
+        done = await link.order(item.order)
+        what = f"{item.order.kind} {item.order.model} {item.order.version}"
+        if done.is_err():
+            loguru.logger.warning(
+                "orders: {} refused {}: {}.", item.replica, what, done.err()
+            )
+            return
+        self._history.add("order", f"{item.replica}: {what} ({item.reason})")
+
+    async def close(self) -> None:
+        """Gives up the lease."""
+        await self._holder.release()
+
+
+def holder_value(router: str, incarnation: int) -> bytes:
+    """Returns what stands under the lease's key."""
+    return json.dumps({"router": router, "incarnation": incarnation}).encode()
--- /dev/null
+++ b/bergamotmill/filings/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent calls: each key runs at most once."""
--- /dev/null
+++ b/bergamotmill/filings/const.py
@@ -0,0 +1,14 @@
+"""Constants of filings; times in seconds."""
+
+KEY_LIFETIME_S = 24 * 3600.0
+# Clocks of callers and routers may differ by so much.
+CLOCK_SKEW_S = 60.0
+MAX_ENTRIES = 200_000
+MAX_OUTCOME_BYTES = 64 * 1024
+MAX_KEPT_BYTES = 64 * 1024 * 1024
+MAX_CLAIM_OUTCOME_BYTES = 16 * 1024
+MAX_KEY_CHARS = 400
+CLAIM_LEASE_S = KEY_LIFETIME_S + 2 * 3600.0
+CLAIM_LEASE_SHARED_S = 3600.0
+FORWARD_MARGIN_S = 0.25
+CLAIM_PREFIX = "/claims/"
--- /dev/null
+++ b/bergamotmill/front/__init__.py
@@ -0,0 +1,1 @@
+"""What callers and operators see."""
--- /dev/null
+++ b/bergamotmill/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that many parts share."""
--- /dev/null
+++ b/bergamotmill/helpers/http_server.py
@@ -0,0 +1,411 @@
+"""An HTTP/1.1 server on h11 with limits on size, time and memory."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+import dataclasses
+import json
+import urllib.parse
+
+import h11
+import loguru
+
+MAX_HEAD_BYTES = 32 * 1024
+DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
+HEAD_TIMEOUT_S = 10.0
+BODY_TIMEOUT_S = 30.0
+IDLE_TIMEOUT_S = 75.0
+READ_PAUSE_BYTES = 256 * 1024
+WRITE_HIGH_BYTES = 64 * 1024
+
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpRequest:
+    """A whole request; header names are lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+    @property
+    def query(self) -> dict[str, str]:
+        """The query's values by name."""
+        return dict(urllib.parse.parse_qsl(self.target.partition("?")[2]))
+
+
+class Exchange:
+    """A request and the means to answer it."""
+
+    def __init__(self, connection: "ServerConnection", request: HttpRequest):
+        self.request = request
+        self._connection = connection
+        self._started = False
+        self._finished = False
+        self._on_close: list[Callable[[], None]] = []
+        self.disconnected = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer has been written."""
+        return self._started
+
+    @property
+    def finished(self) -> bool:
+        """Whether the whole answer has been written."""
+        return self._finished
+
+    def on_close(self, callback: Callable[[], None]) -> None:
+        """Calls back when the caller leaves before the end."""
+        if self.disconnected:
+            callback()
+        else:
+            self._on_close.append(callback)
+
+    def caller_left(self) -> None:
+        """Marks the exchange as abandoned by its caller."""
+        self.disconnected = True
+        for callback in self._on_close:
+            callback()
+        self._on_close.clear()
+
+    def start(
+        self, status: int, headers: Iterable[tuple[bytes, bytes]] = ()
+    ) -> None:
+        """Writes the head of the answer."""
+        self._started = True
+        self._connection.send(
+            h11.Response(status_code=status, headers=list(headers))
+        )
+
+    def write(self, data: bytes) -> None:
+        """Writes a part of the body."""
+        self._connection.send(h11.Data(data=data))
+
+    async def drain(self) -> None:
+        """Waits while the caller's side is full."""
+        if self._connection.write_paused:
+            await self._connection.drain()
+
+    @property
+    def write_paused(self) -> bool:
+        """Whether the caller's side is full."""
+        return self._connection.write_paused
+
+    def finish(self) -> None:
+        """Ends the answer."""
+        if not self._finished:
+            self._finished = True
+            self._connection.send(h11.EndOfMessage())
+
+    def abort(self) -> None:
+        """Cuts the connection, so that a partial answer is seen as such."""
+        self._finished = True
+        self._connection.abort()
+
+    def respond(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: Iterable[tuple[bytes, bytes]] = (JSON_TYPE,),
+    ) -> None:
+        """Writes a whole answer."""
+        lines = [*headers, (b"content-length", str(len(body)).encode())]
+        self.start(status, lines)
+        if body:
+            self.write(body)
+        self.finish()
+
+    def respond_json(
+        self,
+        status: int,
+        value: object,
+        headers: Iterable[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Writes a whole answer in JSON."""
+        body = json.dumps(value).encode()
+        self.respond(status, body, [JSON_TYPE, *headers])
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class ServerConnection(asyncio.Protocol):
+    """One caller's connection; its requests are served in turn."""
+
+    def __init__(self, server: "HttpServer"):
+        self._server = server
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._data = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._unparsed = 0
+        self._reading_paused = False
+        self._gone = False
+        self._exchange: Exchange | None = None
+        self._idle = True
+
+    @property
+    def write_paused(self) -> bool:
+        """Whether the transport's buffer is full."""
+        return not self._writable.is_set()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being served."""
+        return self._idle
+
+    def connection_made(self, transport) -> None:
+        """Starts serving the connection."""
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+        self._server.connections.add(self)
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser; a flood of pipelined data is held back."""
+        self._h11.receive_data(data)
+        if self._exchange is not None:
+            self._unparsed += len(data)
+            if self._unparsed > READ_PAUSE_BYTES and not self._reading_paused:
+                self._reading_paused = True
+                self._transport.pause_reading()
+        self._data.set()
+
+    def eof_received(self) -> bool:
+        """Ends the connection."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the present exchange that its caller left."""
+        self._gone = True
+        self._server.connections.discard(self)
+        self._writable.set()
+        self._data.set()
+        if self._exchange is not None and not self._exchange.finished:
+            self._exchange.caller_left()
+
+    def pause_writing(self) -> None:
+        """Notes that the transport's buffer is full."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Notes that the transport's buffer has room."""
+        self._writable.set()
+
+    async def drain(self) -> None:
+        """Waits for room in the transport's buffer."""
+        await self._writable.wait()
+
+    def send(self, event) -> None:
+        """Encodes and writes one event; nothing after the caller left."""
+        if self._gone:
+            return
+        data = self._h11.send(event)
+        if data:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Cuts the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_when_idle(self) -> None:
+        """Closes between two requests."""
+        if self._idle and self._transport is not None:
+            self._transport.close()
+
+    async def _serve(self) -> None:
+        try:
+            while await self._serve_one():
+                pass
+        except h11.RemoteProtocolError as err:
+            self._refuse(err.error_status_hint or 400, str(err))
+        except TimeoutError:
+            self._refuse(408, "the request did not arrive in time")
+        except h11.LocalProtocolError as err:
+            loguru.logger.warning("http: answer broke the protocol: {}", err)
+            self.abort()
+        finally:
+            if self._transport is not None:
+                self._transport.close()
+
+    async def _serve_one(self) -> bool:
+        request = await self._read_request()
+        if request is None:
+            return False
+        self._idle = False
+        exchange = Exchange(self, request)
+        self._exchange = exchange
+        if self._gone:
+            exchange.caller_left()
+        try:
+            await self._server.handler(exchange)
+        except Exception as err:
+            loguru.logger.exception("http: handler failed: {}", err)
+            if exchange.started:
+                exchange.abort()
+            else:
+                exchange.respond_json(500, _error(500, "internal error"))
+        self._exchange = None
+        self._unparsed = 0
+        if self._reading_paused and not self._gone:
+            self._reading_paused = False
+            self._transport.resume_reading()
+        self._idle = True
+        if self._gone or self._server.closing:
+            return False
+        if self._h11.our_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    async def _read_request(self) -> HttpRequest | None:
+        head = await self._next_head()
+        if head is None:
+            return None
+        if self._h11.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        parts: list[bytes] = []
+        size = 0
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            while True:
+                event = await self._next_event()
+                if event is None:
+                    return None
+                if type(event) is h11.EndOfMessage:
+                    break
+                size += len(event.data)
+                if size > self._server.max_body_bytes:
+                    raise h11.RemoteProtocolError(
+                        "the body is too large", error_status_hint=413
+                    )
+                parts.append(bytes(event.data))
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        return HttpRequest(
+            head.method.decode(),
+            head.target.decode("latin-1"),
+            headers,
+            b"".join(parts),
+        )
+
+    async def _next_head(self):
+        async with asyncio.timeout(IDLE_TIMEOUT_S) as limit:
+            loop = asyncio.get_running_loop()
+            while True:
+                event = self._h11.next_event()
+                if type(event) is h11.Request:
+                    return event
+                if event is not h11.NEED_DATA or self._gone:
+                    return None
+                self._data.clear()
+                await self._data.wait()
+                limit.reschedule(loop.time() + HEAD_TIMEOUT_S)
+
+    async def _next_event(self):
+        while True:
+            event = self._h11.next_event()
+            if type(event) in (h11.Data, h11.EndOfMessage):
+                return event
+            if event is not h11.NEED_DATA or self._gone:
+                return None
+            self._data.clear()
+            await self._data.wait()
+
+    def _refuse(self, status: int, reason: str) -> None:
+        if self._gone or self._h11.our_state not in (
+            h11.IDLE,
+            h11.SEND_RESPONSE,
+        ):
+            return
+        body = json.dumps(_error(status, reason)).encode()
+        headers = [
+            JSON_TYPE,
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+        ]
+        self.send(h11.Response(status_code=status, headers=headers))
+        self.send(h11.Data(data=body))
+        self.send(h11.EndOfMessage())
+
+
+def _error(status: int, message: str) -> dict[str, object]:
+    kind = "server_error" if status >= 500 else "invalid_request_error"
+    return {
+        "error": {
+            "message": message,
+            "type": kind,
+            "code": "bad_request" if status < 500 else "internal_error",
+            "param": None,
+            "run": "not_run" if status < 500 else "unknown",
+        }
+    }
+
+
+class HttpServer:
+    """Listens on an address and hands each request to a handler."""
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+    ):
+        self._address = address
+        self.handler = handler
+        self.max_body_bytes = max_body_bytes
+        self.connections: set[ServerConnection] = set()
+        self.closing = False
+        self._server: asyncio.Server | None = None
+
+    @property
+    def port(self) -> int:
+        """The port it listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
+    async def start(self) -> None:
+        """Starts listening."""
+        host, _, port = self._address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, int(port), backlog=1024
+        )
+
+    async def drain(self, deadline_s: float) -> bool:
+        """Stops listening and waits until each request has ended.
+
+        Returns:
+            Whether all had ended before the deadline.
+        """
+        self.closing = True
+        if self._server is not None:
+            self._server.close()
+        loop = asyncio.get_running_loop()
+        end = loop.time() + deadline_s
+        while self.connections and loop.time() < end:
+            for connection in list(self.connections):
+                connection.close_when_idle()
+            await asyncio.sleep(0.05)
+        return not self.connections
+
+    async def close(self) -> None:
+        """Cuts what is left."""
+        self.closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/bergamotmill/platform/gateway/const.py
@@ -0,0 +1,14 @@
+"""Constants of the JSON gateway driver."""
+
+DRIVER = "gateway"
+
+PATH_RANGE = "/v3/kv/range"
+PATH_TXN = "/v3/kv/txn"
+PATH_GRANT = "/v3/lease/grant"
+PATH_RENEW = "/v3/lease/keepalive"
+PATH_REVOKE = "/v3/lease/revoke"
+PATH_WATCH = "/v3/watch"
+
+CALL_TIMEOUT_S = 2.0
+# The service sends a progress line at least this often on a watch.
+WATCH_SILENCE_S = 15.0
--- /dev/null
+++ b/bergamotmill/platform/memory/config.py
@@ -0,0 +1,12 @@
+"""Registers the in-memory driver."""
+
+from bergamotmill.platform import key_value
+from bergamotmill.platform.memory import const
+from bergamotmill.platform.memory import coordinator
+
+
+@key_value.DRIVERS.register(const.DRIVER)
+def make(settings) -> key_value.KeyValueStore:
+    """Makes an empty store; settings are not used."""
+    del settings
+    return coordinator.MemoryStore()
--- /dev/null
+++ b/bergamotmill/platform/memory/const.py
@@ -0,0 +1,4 @@
+"""Constants of the in-memory store."""
+
+DRIVER = "memory"
+HISTORY_EVENTS = 4096
--- /dev/null
+++ b/bergamotmill/platform/memory/coordinator.py
@@ -0,0 +1,179 @@
+"""The in-memory store: revisions, leases and watches."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+
+import result
+
+from bergamotmill.platform import key_value
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Lease:
+    ttl_s: float
+    ends: float
+
+
+class MemoryStore:
+    """Keeps entries in a dict; leases lapse on the event loop's clock.
+
+    Counters of calls show what a client costs the service; a waiting watch
+    counts as one call.
+    """
+
+    def __init__(self):
+        self._entries: dict[str, key_value.Entry] = {}
+        self._lease_of: dict[str, int] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._revision = 0
+        self._next_lease = 0
+        self._watchers: set[tuple[str, asyncio.Queue]] = set()
+        self.reads = 0
+        self.writes = 0
+        self.watches = 0
+
+    @property
+    def revision(self) -> int:
+        """The revision of the latest change."""
+        return self._revision
+
+    async def start(self) -> None:
+        """Nothing to prepare."""
+
+    async def close(self) -> None:
+        """Nothing to release."""
+
+    async def get(
+        self, key: str
+    ) -> result.Result[key_value.Entry | None, key_value.Unavailable]:
+        """Reads one key."""
+        self.reads += 1
+        self._expire()
+        return result.Ok(self._entries.get(key))
+
+    async def scan(
+        self, prefix: str, limit: int = 0
+    ) -> result.Result[list[key_value.Entry], key_value.Unavailable]:
+        """Reads all keys under a prefix in order."""
+        self.reads += 1
+        self._expire()
+        found = [
+            self._entries[key]
+            for key in sorted(self._entries)
+            if key.startswith(prefix)
+        ]
+        return result.Ok(found[:limit] if limit else found)
+
+    async def put(
+        self, key: str, value: bytes, expected: int | None, lease: int = 0
+    ) -> result.Result[int, key_value.Error]:
+        """Writes when the key's revision is as expected."""
+        self.writes += 1
+        self._expire()
+        current = self._entries.get(key)
+        if not _matches(current, expected):
+            return result.Err(key_value.Conflict(current))
+        if len(value) > key_value.MAX_VALUE_BYTES:
+            return result.Err(key_value.Unavailable("the value is too large"))
+        if lease and lease not in self._leases:
+            return result.Err(key_value.Unavailable("no such lease"))
+        self._revision += 1
+        created = self._revision if current is None else current.create_revision
+        entry = key_value.Entry(key, value, self._revision, created)
+        self._entries[key] = entry
+        self._lease_of.pop(key, None)
+        if lease:
+            self._lease_of[key] = lease
+        self._notify(key_value.Event(key, entry))
+        return result.Ok(self._revision)
+
+    async def delete(
+        self, key: str, expected: int | None
+    ) -> result.Result[None, key_value.Error]:
+        """Deletes a key at a revision."""
+        self.writes += 1
+        self._expire()
+        current = self._entries.get(key)
+        if not _matches(current, expected):
+            return result.Err(key_value.Conflict(current))
+        self._remove(key)
+        return result.Ok(None)
+
+    async def grant(
+        self, ttl_s: float
+    ) -> result.Result[int, key_value.Unavailable]:
+        """Makes a lease."""
+        self.writes += 1
+        self._next_lease += 1
+        now = asyncio.get_running_loop().time()
+        self._leases[self._next_lease] = _Lease(ttl_s, now + ttl_s)
+        return result.Ok(self._next_lease)
+
+    async def renew(
+        self, lease: int
+    ) -> result.Result[bool, key_value.Unavailable]:
+        """Renews a lease that has not lapsed."""
+        self.writes += 1
+        self._expire()
+        held = self._leases.get(lease)
+        if held is None:
+            return result.Ok(False)
+        now = asyncio.get_running_loop().time()
+        self._leases[lease] = _Lease(held.ttl_s, now + held.ttl_s)
+        return result.Ok(True)
+
+    async def revoke(
+        self, lease: int
+    ) -> result.Result[None, key_value.Unavailable]:
+        """Ends a lease with its keys."""
+        self.writes += 1
+        self._end_lease(lease)
+        return result.Ok(None)
+
+    async def watch(self, prefix: str) -> AsyncIterator[list[key_value.Event]]:
+        """Gives changes under a prefix as they come."""
+        self.watches += 1
+        queue: asyncio.Queue[key_value.Event] = asyncio.Queue()
+        watcher = (prefix, queue)
+        self._watchers.add(watcher)
+        try:
+            while True:
+                events = [await queue.get()]
+                while not queue.empty():
+                    events.append(queue.get_nowait())
+                yield events
+        finally:
+            self._watchers.discard(watcher)
+
+    def _notify(self, event: key_value.Event) -> None:
+        for prefix, queue in self._watchers:
+            if event.key.startswith(prefix):
+                queue.put_nowait(event)
+
+    def _remove(self, key: str) -> None:
+        if self._entries.pop(key, None) is None:
+            return
+        self._lease_of.pop(key, None)
+        self._revision += 1
+        self._notify(key_value.Event(key, None))
+
+    def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        keys = [key for key, held in self._lease_of.items() if held == lease]
+        for key in keys:
+            self._remove(key)
+
+    def _expire(self) -> None:
+        now = asyncio.get_running_loop().time()
+        lapsed = [
+            lease for lease, held in self._leases.items() if held.ends <= now
+        ]
+        for lease in lapsed:
+            self._end_lease(lease)
+
+
+def _matches(current: key_value.Entry | None, expected: int | None) -> bool:
+    if expected is None:
+        return True
+    return expected == (0 if current is None else current.revision)
--- /dev/null
+++ b/bergamotmill/platform/vm_list/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of live and leaving VMs."""
--- /dev/null
+++ b/bergamotmill/platform/vm_list/const.py
@@ -0,0 +1,11 @@
+"""Constants of the list of VMs."""
+
+DRIVER = "http"
+PATH = "/vms"
+PERIOD_S = 1.0
+CALL_TIMEOUT_S = 2.0
+
+ROLE_ROUTER = "router"
+ROLE_UPSTREAM = "upstream"
+STATE_LIVE = "live"
+STATE_LEAVING = "leaving"
--- /dev/null
+++ b/bergamotmill/platform/vm_list/coordinator.py
@@ -0,0 +1,104 @@
+"""Reads the list of VMs again and again and keeps the latest one."""
+
+import asyncio
+from collections.abc import Callable
+import json
+import random
+
+import loguru
+import result
+
+from bergamotmill.helpers import http_client
+from bergamotmill.helpers import http_errors
+from bergamotmill.platform.vm_list import config
+from bergamotmill.platform.vm_list import const
+
+
+class HttpVmList:
+    """Reads the list over HTTP as a JSON array."""
+
+    def __init__(self, address: str):
+        self._address = address
+        self._pool = http_client.Pool()
+
+    async def fetch(self) -> result.Result[list[config.Vm], str]:
+        """Reads the whole list."""
+        try:
+            head, body = await http_client.fetch(
+                self._pool,
+                self._address,
+                "GET",
+                const.PATH,
+                timeout_s=const.CALL_TIMEOUT_S,
+            )
+            if head.status != 200:
+                return result.Err(f"status {head.status}")
+            return result.Ok([config.Vm(**vm) for vm in json.loads(body)])
+        except (
+            http_errors.HttpError,
+            TimeoutError,
+            ValueError,
+            TypeError,
+        ) as err:
+            self._pool.suspect(self._address)
+            return result.Err(repr(err))
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._pool.close()
+
+
+@config.DRIVERS.register(const.DRIVER)
+def make(settings) -> config.VmListSource:
+    """Makes a reader for the address in the settings."""
+    return HttpVmList(settings.address)
+
+
+class VmListCoordinator:
+    """Owns the latest list; listeners are told of each new one."""
+
+    def __init__(self, source: config.VmListSource, rng: random.Random):
+        self._source = source
+        self._rng = rng
+        self._vms: tuple[config.Vm, ...] = ()
+        self._listeners: list[Callable[[], None]] = []
+        self._failing = False
+
+    @property
+    def vms(self) -> tuple[config.Vm, ...]:
+        """The latest list; empty before the first answer."""
+        return self._vms
+
+    def leaving(self) -> frozenset[str]:
+        """Names of VMs that are leaving."""
+        return frozenset(
+            vm.name for vm in self._vms if vm.state == const.STATE_LEAVING
+        )
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Calls the listener after each new list."""
+        self._listeners.append(listener)
+
+    async def refresh(self) -> bool:
+        """Reads the list once; False when that failed."""
+        answer = await self._source.fetch()
+        if answer.is_err():
+            if not self._failing:
+                loguru.logger.warning("vm list: {}.", answer.err())
+            self._failing = True
+            return False
+        self._failing = False
+        self._vms = tuple(answer.ok())
+        for listener in self._listeners:
+            listener()
+        return True
+
+    async def run(self) -> None:
+        """Reads the list for ever."""
+        while True:
+            await self.refresh()
+            await asyncio.sleep(const.PERIOD_S * self._rng.uniform(0.8, 1.2))
+
+    def close(self) -> None:
+        """Releases the source."""
+        self._source.close()
--- /dev/null
+++ b/bergamotmill/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the routers; the Python code is generated."""
--- /dev/null
+++ b/bergamotmill/router.py
@@ -0,0 +1,445 @@
+"""One router: all its parts, started and closed in order."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+import json
+import math
+import random
+from typing import Any
+
+import loguru
+
+from bergamotmill import core
+from bergamotmill import supervisor
+from bergamotmill.control import distribution as release_distribution
+from bergamotmill.control import history as fleet_history
+from bergamotmill.control import members as fleet_members
+from bergamotmill.control import membership as fleet_membership
+from bergamotmill.control import orders as engine_orders
+from bergamotmill.control import peers as peer_links
+from bergamotmill.control import release_desk
+from bergamotmill.control import release_store
+from bergamotmill.filings import claims as filing_claims
+from bergamotmill.filings import desk as filing_desk
+from bergamotmill.front import addresses
+from bergamotmill.front import callers
+from bergamotmill.front import gate as front_gate
+from bergamotmill.front import operators
+from bergamotmill.helpers import http_server
+from bergamotmill.helpers import metrics as stats
+from bergamotmill.platform import key_value
+from bergamotmill.platform.vm_list import config as vm_config
+from bergamotmill.platform.vm_list import coordinator as vm_list
+from bergamotmill.proto import peer_pb2
+from bergamotmill.routing import admission
+from bergamotmill.routing import decision as routing_decision
+from bergamotmill.routing import messages as routing_messages
+from bergamotmill.routing import view as fleet_view
+from bergamotmill.settings import config
+from bergamotmill.streams import context as stream_context
+from bergamotmill.streams import generator as stream_generator
+from bergamotmill.upstream import drivers
+from bergamotmill.upstream.engine import coordinator as engines
+from bergamotmill.upstream.kept import coordinator as kept_store
+from bergamotmill.upstream.plain import coordinator as plain
+from bergamotmill.util import clock as clocks
+
+NEAR_S = 0.0005
+FAR_S = 0.0015
+MIN_PLACES = 4
+STATUS_TIMEOUT_S = 1.0
+STATUS_AT_ONCE = 64
+
+PeersFactory = Callable[[str, peer_links.Resolver], peer_links.PeerLinks]
+PeerServerFactory = Callable[[str, str, Mapping[str, Any]], Any]
+
+
+class Router:
+    """The whole of one daemon, without process and signals."""
+
+    def __init__(
+        self,
+        settings: config.Settings,
+        store: key_value.KeyValueStore,
+        vms: vm_config.VmListSource,
+        clock: clocks.Clock,
+        rng: random.Random,
+        incarnation: int,
+        make_peers: PeersFactory = peer_links.GrpcPeers,
+        make_peer_server: PeerServerFactory = peer_links.GrpcPeerServer,
+    ):
+        self._settings = settings
+        self._store = store
+        self._clock = clock
+        self._rng = rng
+        self._incarnation = incarnation
+        self._supervisor = supervisor.Supervisor("router", rng)
+        self._metrics = stats.Metrics(settings.statsd_address)
+        self._history = fleet_history.History(clock.wall)
+        self._vms = vm_list.VmListCoordinator(vms, rng)
+        self._peers = make_peers(settings.fleet_key, self._peer_address)
+        self._make_control()
+        self._make_routing()
+        self._make_front(make_peer_server)
+
+    def _make_control(self) -> None:
+        own = self._settings.router
+        prefix = self._settings.key_value.prefix
+        clock = self._clock
+        self.membership = fleet_membership.Membership(
+            fleet_members.Member(
+                own.name,
+                self._incarnation,
+                fleet_members.MemberState.ALIVE,
+                0,
+                own.peer,
+                own.front,
+                own.data_centre,
+            ),
+            self._peers,
+            self._rng,
+            clock.monotonic,
+            self._release_number,
+        )
+        releases = release_store.ReleaseStore(self._store, prefix, clock.wall)
+        self.distribution = release_distribution.Distribution(
+            releases,
+            self._store,
+            self.membership,
+            self._peers,
+            self._rng,
+            clock.monotonic,
+        )
+        self.desk = release_desk.ReleaseDesk(
+            releases,
+            self._store,
+            prefix,
+            self.distribution,
+            self.membership,
+            self._history,
+            clock.wall,
+        )
+
+    def _make_routing(self) -> None:
+        routing = self._settings.routing
+        clock = self._clock
+        self.view = fleet_view.FleetView(clock.monotonic)
+        self._engines = engines.EngineCoordinator(self.view, self._rng)
+        self._stores = kept_store.KeptStoreCoordinator(
+            self._engines.links, clock.monotonic
+        )
+        self.policy = routing_decision.POLICIES.get(routing.policy)(
+            self.view,
+            routing_messages.Weights(
+                routing.latency_weight, routing.waste_weight
+            ),
+            self._rng,
+        )
+        self.streams = stream_context.StreamContext(
+            self._settings,
+            self._incarnation,
+            self.view,
+            self.policy,
+            self._engines.links,
+            self._stores,
+            self._metrics,
+            clock.monotonic,
+            self._rng,
+        )
+        self._services: dict[str, plain.ServiceLink] = {}
+        prefix = self._settings.key_value.prefix
+        own = self._settings.router
+        self.filings = filing_desk.FilingDesk(
+            own.name,
+            self._incarnation,
+            self._settings.fleet_key,
+            filing_claims.Claims(
+                self._store,
+                prefix,
+                own.name,
+                self._incarnation,
+                clock.monotonic,
+            ),
+            self._peers,
+            self._services.get,
+            self._metrics,
+            clock,
+        )
+        holder = engine_orders.Holder(
+            self._store,
+            f"{prefix}/orders/holder",
+            engine_orders.holder_value(own.name, self._incarnation),
+            clock,
+        )
+        self.orders = engine_orders.OrderDesk(
+            holder,
+            self.view,
+            self._engines.links,
+            self._settings.orders.max_loading,
+            self._history,
+            self.desk.publish,
+            clock,
+            self._rng,
+        )
+
+    def _make_front(self, make_peer_server: PeerServerFactory) -> None:
+        settings = self._settings
+        now = self._clock.monotonic
+        self.book = addresses.AddressBook(
+            self.membership.alive,
+            settings.shutdown.address_lifetime_s,
+            self.filings.token,
+            self._rng,
+        )
+        self.gate = front_gate.Gate(
+            settings.router.name, self.book, self._peers, self._metrics, now
+        )
+        generator = stream_generator.Generator(self.streams, self._peers)
+        self.front = callers.CallerFront(
+            self.gate,
+            generator,
+            self.filings,
+            self.book,
+            self._services.get,
+            self._metrics,
+            now,
+        )
+        self._operators = operators.OperatorFront(
+            settings.operator_key_digests,
+            self.desk,
+            self.streams.explanations,
+            self,
+        )
+        self._servers = [
+            http_server.HttpServer(settings.router.front, self.front.handle),
+            http_server.HttpServer(
+                settings.router.operators, self._operators.handle
+            ),
+        ]
+        handlers = {
+            "Ping": self.membership.on_ping,
+            "Push": self.distribution.on_push,
+            "Pull": self.distribution.on_pull,
+            "File": self.filings.serve_peer,
+            "Tail": generator.tail,
+            "Borrow": self.gate.on_borrow,
+            "Status": self._on_status,
+        }
+        self._peer_server = make_peer_server(
+            settings.router.peer, settings.fleet_key, handlers
+        )
+
+    @property
+    def metrics(self) -> stats.Metrics:
+        """Counters and gauges."""
+        return self._metrics
+
+    @property
+    def incarnation(self) -> int:
+        """This start of the router."""
+        return self._incarnation
+
+    def _peer_address(self, name: str) -> str:
+        return self.membership.peer_address(name)
+
+    def _release_number(self) -> int:
+        return self.distribution.number
+
+    async def start(self) -> None:
+        """Starts all parts; requests are served as soon as it can be."""
+        self._vms.listen(self._on_vms)
+        self.membership.listen(self._on_members)
+        self.distribution.listen(self._on_configuration)
+        await self._metrics.start()
+        await self._store.start()
+        await self._peer_server.start()
+        for server in self._servers:
+            await server.start()
+        await self._vms.refresh()
+        await self._engines.start()
+        children = {
+            "vm list": self._vms.run,
+            "membership": self._run_membership,
+            "boot": self.distribution.run_boot,
+            "reader": self.distribution.run_reader,
+            "puller": self.distribution.run_puller,
+            "orders": self.orders.run,
+        }
+        for name, child in children.items():
+            self._supervisor.start_child(name, child)
+        loguru.logger.info(
+            "router: {} listens on {}.",
+            self._settings.router.name,
+            self._settings.router.front,
+        )
+
+    async def _run_membership(self) -> None:
+        await self.membership.join()
+        await self.membership.run()
+
+    async def shut_down(self) -> bool:
+        """Leaves gracefully; returns whether every request could end.
+
+        The router first leaves the address answers, then serves for the
+        lifetime of those that callers still hold, then lets each stream end.
+        """
+        shutdown = self._settings.shutdown
+        self.front.leave()
+        self.membership.leave()
+        await asyncio.sleep(shutdown.address_lifetime_s)
+        drained = await self._servers[0].drain(shutdown.deadline_s)
+        async with asyncio.timeout(shutdown.deadline_s):
+            await self.filings.drain()
+        return drained
+
+    async def close(self) -> None:
+        """Stops everything at once."""
+        await self._supervisor.close()
+        await self.orders.close()
+        await self.desk.close()
+        await self.distribution.close()
+        for server in reversed(self._servers):
+            await server.close()
+        await self.filings.close()
+        await self._peer_server.close()
+        await self._engines.close()
+        self._stores.close()
+        for link in self._services.values():
+            link.close()
+        self._vms.close()
+        close_peers = getattr(self._peers, "close", None)
+        if close_peers is not None:
+            await close_peers()
+        await self._store.close()
+        await self._metrics.close()
+
+    def _on_vms(self) -> None:
+        self.membership.adopt_list(self._vms.vms)
+        self.view.set_leaving(self._vms.leaving())
+
+    def _on_members(self) -> None:
+        self.book.changed()
+        self._size()
+
+    def _on_configuration(self, configuration: core.Configuration) -> None:
+        self.view.adopt(configuration.replicas, self._distance)
+        self._engines.adopt(configuration.replicas)
+        self._stores.adopt(
+            configuration.stores, self._settings.router.data_centre
+        )
+        self._adopt_services(configuration.services)
+        self.orders.adopt(configuration)
+        self.book.changed()
+        self.gate.adopt(configuration)
+        self.front.adopt(configuration)
+        self._size()
+
+    def _adopt_services(self, services: Mapping[str, core.Service]) -> None:
+        for name in list(self._services):
+            if services.get(name) != self._services[name].service:
+                self._services.pop(name).close()
+        for name, service in services.items():
+            if name not in self._services:
+                self._services[name] = drivers.SERVICES.get(service.driver)(
+                    service,
+                    self._settings.router.data_centre,
+                    self._vms.leaving,
+                    self._rng,
+                )
+
+    def _distance(self, data_centre: str) -> float:
+        if data_centre == self._settings.router.data_centre:
+            return NEAR_S
+        return FAR_S
+
+    def _size(self) -> None:
+        """Shares the engines' slots among the routers."""
+        configuration = self.distribution.configuration
+        routers = max(1, len(self.membership.alive()))
+        slots = sum(item.slots for item in configuration.replicas.values())
+        places = math.ceil(slots * admission.HEADROOM / routers)
+        self.gate.admission.set_places(max(MIN_PLACES, places))
+        worths = [item.worth for item in configuration.classes.values()]
+        mean = sum(worths) / len(worths) if worths else 1.0
+        self.policy.set_fleet(routers, mean)
+
+    def configuration(self) -> core.Configuration:
+        """Returns the configuration in force here."""
+        return self.distribution.configuration
+
+    def counts(self) -> Mapping[str, Any]:
+        """Returns counters and gauges."""
+        return {
+            "counts": dict(self._metrics.counts),
+            "gauges": dict(self._metrics.gauges),
+        }
+
+    def status(self) -> Mapping[str, Any]:
+        """Returns this router's own state."""
+        now = self._clock.monotonic()
+        replicas = []
+        for name, view in sorted(self.view.views.items()):
+            report = view.load.report
+            models = {} if report is None else report.models
+            replicas.append(
+                {
+                    "name": name,
+                    "incarnation": view.incarnation,
+                    "models": {
+                        item.name: f"{item.version} {item.state.value}"
+                        for item in models.values()
+                    },
+                    "running": 0 if report is None else report.running,
+                    "wait_s": round(view.load.wait(0, now), 3),
+                    "usable": view.health.usable(now),
+                    "leaving": name in self.view.leaving,
+                    "keeps_s": round(view.horizon.seconds, 1),
+                }
+            )
+        return {
+            "router": self._settings.router.name,
+            "incarnation": self._incarnation,
+            "data_centre": self._settings.router.data_centre,
+            "state": self.membership.own.state.name.lower(),
+            "release": self.distribution.number,
+            "reader": self.distribution.reading,
+            "orders": self.orders.holding,
+            "busy": self.gate.admission.busy,
+            "waiting": self.gate.admission.waiting,
+            "restarts": self._supervisor.restarts,
+            "alive": sorted(item.name for item in self.membership.alive()),
+            "replicas": replicas,
+            "history": [
+                {"at": item.at, "kind": item.kind, "text": item.text}
+                for item in self._history.latest(10)
+            ],
+        }
+
+    async def _on_status(
+        self, request: peer_pb2.StatusRequest
+    ) -> peer_pb2.StatusReply:
+        del request
+        return peer_pb2.StatusReply(status=json.dumps(self.status()).encode())
+
+    async def fleet_status(self) -> list[Mapping[str, Any]]:
+        """Returns the state of all routers that answer, this one first."""
+        own = self._settings.router.name
+        names = [name for name in sorted(self.membership.known) if name != own]
+        slots = asyncio.Semaphore(STATUS_AT_ONCE)
+
+        async def ask(name: str) -> Mapping[str, Any]:
+            async with slots:
+                answer = await self._peers.call(
+                    name,
+                    "Status",
+                    peer_links.empty_status(),
+                    STATUS_TIMEOUT_S,
+                )
+            if answer.is_ok():
+                return json.loads(answer.ok().status)
+            member = self.membership.known.get(name)
+            state = "gone" if member is None else member.state.name.lower()
+            return {"router": name, "state": state, "error": answer.err()}
+
+        others = await asyncio.gather(*(ask(name) for name in names))
+        return [self.status(), *others]
--- /dev/null
+++ b/bergamotmill/routing/decision.py
@@ -0,0 +1,292 @@
+"""Chooses the replica for a request.
+
+The predictive policy scores each candidate by its predicted time to first
+token and by the work that choosing it would throw away. What a replica holds
+is taken, in order of trust, from answers, from cache events, and from the
+agreement that a prefix is kept at its homes on a hash ring, which every
+router computes alike without talking.
+"""
+
+from collections.abc import Callable, Mapping
+import random
+from typing import Protocol
+
+import result
+import xxhash
+
+from bergamotmill.routing import const
+from bergamotmill.routing import messages
+from bergamotmill.routing import popularity as prefix_popularity
+from bergamotmill.routing import view as fleet_view
+from bergamotmill.util import registry
+
+Answer = result.Result[messages.Decision, messages.NoReplica]
+
+
+class Policy(Protocol):
+    """A way to choose a replica."""
+
+    def decide(self, ask: messages.Ask, now: float) -> Answer:
+        """Chooses a replica."""
+
+    def answered(
+        self, decision: messages.Decision, cached_tokens: int, now: float
+    ) -> None:
+        """Learns from an answer."""
+
+
+PolicyFactory = Callable[
+    [fleet_view.FleetView, messages.Weights, random.Random], Policy
+]
+POLICIES: registry.Registry[PolicyFactory] = registry.Registry("routing policy")
+
+
+class _Known:
+    """What is known or presumed to be cached at each candidate."""
+
+    __slots__ = ("expected", "levels")
+
+    def __init__(self):
+        self.expected: dict[str, float] = {}
+        self.levels: dict[str, int] = {}
+
+    def offer(self, replica: str, tokens: float, level: int) -> None:
+        """Keeps the best expectation for a replica."""
+        if tokens > self.expected.get(replica, -1.0):
+            self.expected[replica] = tokens
+        if level > self.levels.get(replica, 0):
+            self.levels[replica] = level
+
+
+@POLICIES.register("predictive")
+class PredictivePolicy:
+    """Predicts time to first token and prices wasted work."""
+
+    def __init__(
+        self,
+        view: fleet_view.FleetView,
+        weights: messages.Weights,
+        rng: random.Random,
+    ):
+        self._view = view
+        self._weights = weights
+        self._rng = rng
+        self._popularity = prefix_popularity.Popularity()
+        self._priors: list[float] = []
+        self._fleet_factor = 1.0
+        self._mean_worth = 1.0
+
+    @property
+    def popularity(self) -> prefix_popularity.Popularity:
+        """Rates of prefixes as this router sees them."""
+        return self._popularity
+
+    def set_fleet(self, routers: int, mean_worth: float) -> None:
+        """Takes the number of routers and the mean worth of classes."""
+        self._fleet_factor = float(max(1, routers))
+        self._mean_worth = max(mean_worth, 1e-9)
+
+    def decide(self, ask: messages.Ask, now: float) -> Answer:
+        """Scores the candidates and takes the best."""
+        eligible = self._view.eligible(
+            ask.model, ask.version, ask.adapter, ask.adapter_version
+        )
+        if not eligible.names:
+            return result.Err(messages.NoReplica("no replica is ready", 1.0))
+        known = self._known(ask, eligible, now)
+        names = self._candidates(ask, eligible, known)
+        if not names:
+            return result.Err(messages.NoReplica("all were tried", 1.0))
+        scored = self._score_all(ask, eligible.views, known, names, now)
+        choice = self._choose(ask, scored, eligible.views, now)
+        for digest in ask.chain.digests:
+            self._popularity.touch(digest, now)
+        decision = messages.Decision(ask, choice, tuple(scored), now)
+        self._check(decision, known)
+        return result.Ok(decision)
+
+    def _known(
+        self, ask: messages.Ask, eligible: fleet_view.Eligible, now: float
+    ) -> _Known:
+        known = _Known()
+        views = eligible.views
+        locations = self._view.locations
+        chain = ask.chain
+        for level, digest in enumerate(chain.digests, 1):
+            tokens = chain.tokens[level - 1]
+            for name, stamp in locations.holders(ask.customer, digest):
+                view = views.get(name)
+                if view is not None:
+                    chance = view.survival(stamp, now)
+                    known.offer(name, chance * tokens, level)
+            prior = self._prior(level - 1)
+            for name in self._homes(digest, ask, eligible, now):
+                known.offer(name, prior * tokens, 0)
+        return known
+
+    def _homes(self, digest, ask, eligible, now) -> list[str]:
+        rate = self._popularity.rate(digest, now) * self._fleet_factor
+        count = 1
+        if rate > 0:
+            first = eligible.views[eligible.names[0]]
+            count = prefix_popularity.width(
+                rate,
+                ask.chain.total_tokens,
+                first.replica.prefill_tokens_per_s,
+            )
+        return eligible.ring.find(digest, count)
+
+    def _prior(self, index: int) -> float:
+        while len(self._priors) <= index:
+            self._priors.append(const.HOME_PRIOR_FIRST)
+        return self._priors[index]
+
+    def _candidates(
+        self,
+        ask: messages.Ask,
+        eligible: fleet_view.Eligible,
+        known: _Known,
+    ) -> list[str]:
+        if len(eligible.names) <= const.ALL_REPLICAS_UP_TO:
+            names = list(eligible.names)
+        else:
+            ranked = sorted(
+                known.expected, key=known.expected.__getitem__, reverse=True
+            )
+            names = ranked[: const.MAX_CANDIDATES]
+            wanted = len(names) + const.RANDOM_CANDIDATES
+            while len(names) < wanted:
+                name = self._rng.choice(eligible.names)
+                if name not in names:
+                    names.append(name)
+        if ask.exclude:
+            names = [name for name in names if name not in ask.exclude]
+        return names
+
+    def _score_all(
+        self,
+        ask: messages.Ask,
+        views: Mapping[str, fleet_view.ReplicaView],
+        known: _Known,
+        names: list[str],
+        now: float,
+    ) -> list[messages.Candidate]:
+        expected = known.expected
+        best_cached = max(expected.get(name, 0.0) for name in names)
+        best_cached = max(best_cached, float(ask.kept_tokens))
+        worth = ask.worth / self._mean_worth
+        latency = self._weights.latency * worth
+        waste = self._weights.waste
+        scored = []
+        for name in names:
+            view = views[name]
+            rate = view.replica.prefill_tokens_per_s
+            cached = expected.get(name, 0.0)
+            prefill, imports = _prefill_seconds(ask, cached, rate)
+            reachable = max(cached, ask.kept_tokens if imports else 0)
+            lost = max(0.0, best_cached - reachable) / rate
+            wait = view.load.wait(ask.priority, now)
+            penalty = view.health.penalty(now)
+            latency_s = wait + prefill + view.distance_s + penalty
+            scored.append(
+                messages.Candidate(
+                    name,
+                    view.incarnation,
+                    self._view.locations.epoch(name),
+                    wait,
+                    prefill,
+                    view.distance_s,
+                    lost,
+                    penalty,
+                    cached,
+                    known.levels.get(name, 0),
+                    imports,
+                    latency * latency_s + waste * lost,
+                )
+            )
+        scored.sort(key=_by_score)
+        return scored
+
+    def _choose(
+        self,
+        ask: messages.Ask,
+        scored: list[messages.Candidate],
+        views: Mapping[str, fleet_view.ReplicaView],
+        now: float,
+    ) -> messages.Candidate:
+        best = scored[0]
+        slack = const.TIE_S + views[best.replica].load.uncertainty(now)
+        ties = [item for item in scored if item.score <= best.score + slack]
+        if len(ties) == 1:
+            return best
+        seed = ask.chain.digests[-1] if ask.chain.digests else 0
+        if not seed:
+            return self._rng.choice(ties)
+        return max(
+            ties,
+            key=lambda item: xxhash.xxh3_64_intdigest(
+                item.replica.encode(), seed
+            ),
+        )
+
+    def _check(self, decision: messages.Decision, known: _Known) -> None:
+        choice = decision.choice
+        if choice.known_level == 0:
+            return
+        view = self._view.views[choice.replica]
+        if choice.incarnation != view.incarnation:
+            raise AssertionError("the choice relies on a dead incarnation")
+        if choice.epoch != self._view.locations.epoch(choice.replica):
+            raise AssertionError("the choice relies on void entries")
+
+    def answered(
+        self, decision: messages.Decision, cached_tokens: int, now: float
+    ) -> None:
+        """Learns locations, horizons and priors from an answer."""
+        choice = decision.choice
+        view = self._view.views.get(choice.replica)
+        if view is None or view.incarnation != choice.incarnation:
+            return
+        locations = self._view.locations
+        if choice.epoch != locations.epoch(choice.replica):
+            return
+        ask = decision.ask
+        chain = ask.chain
+        ring = self._view.eligible(
+            ask.model, ask.version, ask.adapter, ask.adapter_version
+        ).ring
+        for index, digest in enumerate(chain.digests):
+            there = chain.tokens[index] <= cached_tokens
+            stamp = locations.stamp(digest, choice.replica)
+            if stamp is None:
+                if choice.replica in ring.find(digest, 1):
+                    self._learn_prior(index, there)
+            elif there:
+                view.horizon.found(now - stamp)
+            else:
+                view.horizon.gone(now - stamp)
+            locations.learn(ask.customer, digest, choice.replica, now)
+
+    def _learn_prior(self, index: int, there: bool) -> None:
+        prior = self._prior(index)
+        step = const.HOME_PRIOR_STEP
+        self._priors[index] = prior + step * ((1.0 if there else 0.0) - prior)
+
+
+def _prefill_seconds(
+    ask: messages.Ask, cached: float, rate: float
+) -> tuple[float, bool]:
+    uncached = max(0.0, ask.chain.total_tokens - cached)
+    plain = const.REQUEST_OVERHEAD_S + uncached / rate
+    if ask.kept_tokens <= cached or ask.kept_rate <= 0:
+        return plain, False
+    fetched = ask.kept_tokens - cached
+    rest = max(0.0, ask.chain.total_tokens - ask.kept_tokens)
+    imported = const.REQUEST_OVERHEAD_S + fetched / ask.kept_rate + rest / rate
+    if imported < plain:
+        return imported, True
+    return plain, False
+
+
+def _by_score(candidate: messages.Candidate) -> float:
+    return candidate.score
--- /dev/null
+++ b/bergamotmill/routing/load.py
@@ -0,0 +1,100 @@
+"""What waits at each replica, corrected for the lag of its reports."""
+
+import collections
+
+from bergamotmill.routing import const
+from bergamotmill.upstream.engine import config
+
+
+class ReplicaLoad:
+    """An estimate of one replica's queue.
+
+    A report is old when it arrives. Added to it are the tokens this router
+    sent since, and the share of the other routers, whose rate follows from
+    the replica's counter of accepted tokens; taken off is what the replica
+    has worked through meanwhile.
+    """
+
+    def __init__(self):
+        self._report: config.LoadReport | None = None
+        self._sent: collections.deque[tuple[float, int, float]] = (
+            collections.deque()
+        )
+        self._sent_total = 0.0
+        self._sent_at_report = 0.0
+        self._others_rate = 0.0
+        self._service_s = 5.0
+
+    @property
+    def report(self) -> config.LoadReport | None:
+        """The latest report."""
+        return self._report
+
+    @property
+    def others_rate(self) -> float:
+        """Tokens a second that other routers send."""
+        return self._others_rate
+
+    def on_report(self, report: config.LoadReport) -> None:
+        """Takes a newer report."""
+        old = self._report
+        if old is not None and old.incarnation == report.incarnation:
+            if report.as_of <= old.as_of:
+                return
+            self._learn_others(old, report)
+        else:
+            self._others_rate = 0.0
+        self._report = report
+        self._sent_at_report = self._sent_total
+        while self._sent and self._sent[0][0] <= report.as_of:
+            self._sent.popleft()
+
+    def _learn_others(
+        self, old: config.LoadReport, new: config.LoadReport
+    ) -> None:
+        accepted = new.accepted_tokens - old.accepted_tokens
+        own = self._sent_total - self._sent_at_report
+        rate = max(0.0, accepted - own) / (new.as_of - old.as_of)
+        self._others_rate += const.LOAD_SMOOTHING * (rate - self._others_rate)
+
+    def sent(self, tokens: float, priority: int, now: float) -> None:
+        """Notes tokens that this router has just sent."""
+        self._sent.append((now, priority, tokens))
+        self._sent_total += tokens
+
+    def served(self, seconds: float) -> None:
+        """Notes how long a whole answer took."""
+        self._service_s += 0.1 * (seconds - self._service_s)
+
+    def wait(self, priority: int, now: float) -> float:
+        """Returns the predicted wait in seconds before prefill starts."""
+        report = self._report
+        if report is None:
+            return 0.0
+        age = now - report.as_of
+        rate = report.prefill_tokens_per_s
+        tokens = self._others_rate * age
+        for level, queued in report.queued_tokens.items():
+            if level >= priority:
+                tokens += queued
+        requests = 0
+        for _, level, sent in self._sent:
+            requests += 1
+            if level >= priority:
+                tokens += sent
+        backlog = max(0.0, tokens - rate * age) / rate
+        return backlog + self._slot_wait(report, requests)
+
+    def _slot_wait(self, report: config.LoadReport, sent: int) -> float:
+        over = report.running + sent - report.slots
+        if over < 0:
+            return 0.0
+        return (over + 1) * self._service_s / max(1, report.slots)
+
+    def uncertainty(self, now: float) -> float:
+        """Returns seconds of wait that the report's age leaves open."""
+        report = self._report
+        if report is None:
+            return 0.1
+        age = min(now - report.as_of, const.REPORT_STALE_S)
+        return age * self._others_rate / report.prefill_tokens_per_s
--- /dev/null
+++ b/bergamotmill/routing/messages.py
@@ -0,0 +1,109 @@
+"""What the decision is asked, and what it answers."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from bergamotmill.routing import chain as prefix_chain
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """One request as far as the decision needs it.
+
+    Attributes:
+        kept_tokens: tokens of the prefix that a store of kept KV holds.
+        kept_rate: tokens a second at which the store hands them out.
+    """
+
+    request_id: str
+    customer: str
+    model: str
+    adapter: str
+    version: str
+    adapter_version: str
+    priority: int
+    worth: float
+    chain: prefix_chain.PrefixChain
+    kept_tokens: int = 0
+    kept_rate: float = 0.0
+    exclude: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """A replica with the terms of its score; times in seconds."""
+
+    replica: str
+    incarnation: int
+    epoch: int
+    wait_s: float
+    prefill_s: float
+    distance_s: float
+    waste_s: float
+    penalty_s: float
+    cached_tokens: float
+    known_level: int
+    imports: bool
+    score: float
+
+    @property
+    def first_token_s(self) -> float:
+        """The predicted time to first token."""
+        return self.wait_s + self.prefill_s + self.distance_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """The chosen candidate among those considered."""
+
+    ask: Ask
+    choice: Candidate
+    candidates: tuple[Candidate, ...]
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoReplica:
+    """Why no replica can take a request now."""
+
+    reason: str
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Weights:
+    """What the deployment counts."""
+
+    latency: float = 1.0
+    waste: float = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """A decision and what came of it."""
+
+    decision: Decision
+    attempts: tuple[str, ...] = ()
+    cached_tokens: int = -1
+    first_token_s: float = -1.0
+
+    def as_json(self) -> Mapping[str, object]:
+        """Returns a form for printing."""
+        ask = self.decision.ask
+        return {
+            "request": ask.request_id,
+            "customer": ask.customer,
+            "model": ask.model,
+            "version": ask.version,
+            "prompt_tokens": ask.chain.total_tokens,
+            "levels": len(ask.chain.digests),
+            "chosen": self.decision.choice.replica,
+            "predicted_first_token_s": self.decision.choice.first_token_s,
+            "predicted_cached_tokens": self.decision.choice.cached_tokens,
+            "first_token_s": self.first_token_s,
+            "cached_tokens": self.cached_tokens,
+            "attempts": list(self.attempts),
+            "candidates": [
+                dataclasses.asdict(item) for item in self.decision.candidates
+            ],
+        }
--- /dev/null
+++ b/bergamotmill/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings of one router: checked once, frozen after."""
--- /dev/null
+++ b/bergamotmill/settings/const.py
@@ -0,0 +1,21 @@
+"""Names and defaults of the settings."""
+
+CONF_ROUTER = "router"
+CONF_PLATFORM = "platform"
+CONF_FLEET_KEY = "fleet_key"
+CONF_OPERATORS = "operator_key_digests"
+CONF_ROUTING = "routing"
+CONF_ORDERS = "orders"
+CONF_STATSD = "statsd"
+CONF_LOG = "log"
+CONF_LIMITS = "limits"
+CONF_SHUTDOWN = "shutdown"
+
+DEFAULT_POLICY = "predictive"
+DEFAULT_LATENCY_WEIGHT = 1.0
+DEFAULT_WASTE_WEIGHT = 0.5
+DEFAULT_MAX_LOADING = 2
+DEFAULT_ADDRESS_LIFETIME_S = 10.0
+DEFAULT_SHUTDOWN_DEADLINE_S = 120.0
+DEFAULT_BYTES_PER_PIECE = 8000
+DEFAULT_TOKENS_PER_PIECE = 2000
--- /dev/null
+++ b/bergamotmill/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what stands around the system."""
--- /dev/null
+++ b/bergamotmill/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of tokens: relay, resumption and detection of silence."""
--- /dev/null
+++ b/bergamotmill/streams/assemble.py
@@ -0,0 +1,92 @@
+"""Makes a whole answer of the events of a stream."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from bergamotmill.streams import events as sse
+
+
+def assemble(raw_events: Iterable[bytes]) -> dict[str, Any]:
+    """Returns the answer that the same request would get unstreamed."""
+    answer: dict[str, Any] = {}
+    choices: dict[int, dict[str, Any]] = {}
+    for raw in raw_events:
+        if sse.is_done(raw) or sse.is_comment(raw):
+            continue
+        chunk = sse.data_of(raw)
+        if not answer:
+            answer = {
+                "id": chunk.get("id"),
+                "object": chunk.get("object", "").removesuffix(".chunk"),
+                "created": chunk.get("created"),
+                "model": chunk.get("model"),
+            }
+        if chunk.get("usage"):
+            answer["usage"] = chunk["usage"]
+        for choice in chunk.get("choices", []):
+            _merge_choice(choices, choice)
+    answer["choices"] = [choices[index] for index in sorted(choices)]
+    return answer
+
+
+def text_of(raw_events: Iterable[bytes]) -> tuple[str, int]:
+    """Returns the text of the first choice and its number of tokens."""
+    parts = []
+    for raw in raw_events:
+        if sse.is_done(raw) or sse.is_comment(raw):
+            continue
+        for choice in sse.data_of(raw).get("choices", []):
+            text = choice.get("text")
+            if text is None:
+                text = (choice.get("delta") or {}).get("content")
+            if text:
+                parts.append(text)
+    return "".join(parts), len(parts)
+
+
+def _merge_choice(
+    choices: dict[int, dict[str, Any]], chunk: dict[str, Any]
+) -> None:
+    index = chunk.get("index", 0)
+    choice = choices.setdefault(
+        index, {"index": index, "finish_reason": None, "logprobs": None}
+    )
+    if chunk.get("finish_reason"):
+        choice["finish_reason"] = chunk["finish_reason"]
+    if "text" in chunk:
+        choice["text"] = choice.get("text", "") + (chunk["text"] or "")
+    if "delta" in chunk:
+        message = choice.setdefault(
+            "message", {"role": "assistant", "content": None}
+        )
+        _merge_delta(message, chunk["delta"] or {})
+
+
+def _merge_delta(message: dict[str, Any], delta: dict[str, Any]) -> None:
+    for key, value in delta.items():
+        if key == "role" or value is None:
+            continue
+        if key == "tool_calls":
+            _merge_tool_calls(message, value)
+        elif isinstance(value, str):
+            message[key] = (message.get(key) or "") + value
+        else:
+            message[key] = value
+
+
+def _merge_tool_calls(
+    message: dict[str, Any], deltas: list[dict[str, Any]]
+) -> None:
+    calls = message.setdefault("tool_calls", [])
+    for delta in deltas:
+        index = delta.get("index", 0)
+        while len(calls) <= index:
+            calls.append(
+                {"type": "function", "function": {"name": "", "arguments": ""}}
+            )
+        call = calls[index]
+        if delta.get("id"):
+            call["id"] = delta["id"]
+        function = delta.get("function") or {}
+        for key in ("name", "arguments"):
+            call["function"][key] += function.get(key) or ""
--- /dev/null
+++ b/bergamotmill/streams/const.py
@@ -0,0 +1,13 @@
+"""Constants of streams; times in seconds, sizes in bytes."""
+
+KEEP_ALIVE_S = 5.0
+LINGER_S = 5.0
+KEPT_AFTER_END_S = 60.0
+CALLER_STALL_S = 30.0
+MAX_JOURNAL_BYTES = 256 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_RESUMES = 4
+
+DONE = b"data: [DONE]\n\n"
+KEEP_ALIVE = b": keep-alive\n\n"
+MAC_BYTES = 8
--- /dev/null
+++ b/bergamotmill/streams/context.py
@@ -0,0 +1,214 @@
+"""What the pumps share: the decision, links, journals and metrics."""
+
+from collections.abc import Callable, Mapping
+import random
+
+import result
+
+from bergamotmill.helpers import metrics as stats
+from bergamotmill.routing import chain as prefix_chain
+from bergamotmill.routing import decision as routing_decision
+from bergamotmill.routing import explain
+from bergamotmill.routing import kept as kept_export
+from bergamotmill.routing import messages as routing_messages
+from bergamotmill.routing import retry_budget
+from bergamotmill.routing import view as fleet_view
+from bergamotmill.settings import config as settings_config
+from bergamotmill.streams import body as engine_body
+from bergamotmill.streams import journal as stream_journal
+from bergamotmill.streams import messages
+from bergamotmill.upstream import errors
+from bergamotmill.upstream.engine import config
+from bergamotmill.upstream.kept import coordinator as kept_store
+
+_EJECTING = (errors.Failure.CONNECT, errors.Failure.SILENT)
+_HARMLESS = (
+    errors.Failure.MOVED,
+    errors.Failure.BAD_REQUEST,
+    errors.Failure.WRONG_TARGET,
+)
+
+
+class StreamContext:
+    """The part of the router that all pumps use."""
+
+    def __init__(
+        self,
+        settings: settings_config.Settings,
+        incarnation: int,
+        view: fleet_view.FleetView,
+        policy: routing_decision.PredictivePolicy,
+        links: Mapping[str, object],
+        stores: kept_store.KeptStoreCoordinator,
+        metrics: stats.Metrics,
+        now: Callable[[], float],
+        rng: random.Random,
+    ):
+        self._settings = settings
+        self._incarnation = incarnation
+        self._view = view
+        self._policy = policy
+        self.links = links
+        self._stores = stores
+        self.metrics = metrics
+        self.now = now
+        self._rng = rng
+        self._budget = retry_budget.RetryBudget(now())
+        self._exports = kept_export.ExportPolicy(policy.popularity, now())
+        self.explanations = explain.Explanations()
+        self.journals = stream_journal.Journals(now)
+        self._pumps: dict[str, object] = {}
+
+    @property
+    def router(self) -> str:
+        """This router's name."""
+        return self._settings.router.name
+
+    @property
+    def incarnation(self) -> int:
+        """This router's incarnation."""
+        return self._incarnation
+
+    @property
+    def fleet_key(self) -> str:
+        """The key that signs stream ids."""
+        return self._settings.fleet_key
+
+    @property
+    def pumps(self) -> Mapping[str, object]:
+        """Running pumps by request id."""
+        return self._pumps
+
+    def add_pump(self, request_id: str, pump: object) -> None:
+        """Keeps a running pump."""
+        self._pumps[request_id] = pump
+
+    def pump_ended(self, pump) -> None:
+        """Drops a pump that has ended."""
+        request_id = pump.request.request_id
+        if self._pumps.pop(request_id, None) is not None:
+            self.journals.end(request_id)
+
+    def chain_of(
+        self, request: messages.ModelRequest
+    ) -> prefix_chain.PrefixChain:
+        """Returns the request's chain of prefixes."""
+        routing = self._settings.routing
+        chain_salt = prefix_chain.salt(
+            request.customer.name,
+            request.customer.generation,
+            request.model.name,
+            request.adapter,
+            request.model.served_version,
+        )
+        return prefix_chain.build(
+            engine_body.prompt_text(request.path, request.body),
+            chain_salt,
+            routing.bytes_per_piece,
+            routing.tokens_per_piece,
+        )
+
+    async def decide(
+        self, request: messages.ModelRequest, exclude: frozenset[str]
+    ) -> result.Result[routing_messages.Decision, routing_messages.NoReplica]:
+        """Chooses a replica for a request."""
+        chain = self.chain_of(request)
+        kept = await self._stores.look_up(chain)
+        ask = routing_messages.Ask(
+            request_id=request.request_id,
+            customer=request.customer.name,
+            model=request.model.name,
+            adapter=request.adapter,
+            version=request.model.served_version,
+            adapter_version=request.model.adapters.get(request.adapter, ""),
+            priority=request.request_class.priority,
+            worth=request.request_class.worth,
+            chain=chain,
+            kept_tokens=kept.tokens,
+            kept_rate=kept.tokens_per_s,
+            exclude=exclude,
+        )
+        decided = self._policy.decide(ask, self.now())
+        if decided.is_ok():
+            self.explanations.decided(decided.ok())
+        return decided
+
+    def store_for(self, decision: routing_messages.Decision) -> str:
+        """Returns the store to import from; empty for none."""
+        return self._stores.address if decision.choice.imports else ""
+
+    def sent(self, decision: routing_messages.Decision) -> None:
+        """Counts a request that is about to leave."""
+        self._budget.first_attempt()
+        view = self._view.views.get(decision.choice.replica)
+        if view is None:
+            return
+        chain = decision.ask.chain
+        tokens = max(0.0, chain.total_tokens - decision.choice.cached_tokens)
+        view.load.sent(tokens, decision.ask.priority, self.now())
+
+    def head_seen(self, replica: str, head: config.StreamHead) -> None:
+        """Learns from the head of an answer."""
+        view = self._view.views.get(replica)
+        if view is None:
+            return
+        if head.incarnation > view.incarnation:
+            self._view.new_incarnation(replica, head.incarnation)
+        if head.report is not None:
+            self._view.on_report(replica, head.report)
+
+    def first_token(
+        self, request: messages.ModelRequest, seconds: float
+    ) -> None:
+        """Counts a first token."""
+        name = request.request_class.name
+        self.metrics.timing(f"first_token.{name}", seconds)
+
+    def answered(
+        self,
+        decision: routing_messages.Decision,
+        cached_tokens: int,
+        first_token_s: float,
+        total_s: float,
+    ) -> None:
+        """Learns from a whole answer."""
+        now = self.now()
+        self._policy.answered(decision, cached_tokens, now)
+        replica = decision.choice.replica
+        chain = decision.ask.chain
+        self.explanations.came(
+            decision.ask.request_id, cached_tokens, first_token_s
+        )
+        self.metrics.count("tokens.cached", cached_tokens)
+        self.metrics.count(
+            "tokens.computed", max(0, chain.total_tokens - cached_tokens)
+        )
+        view = self._view.views.get(replica)
+        if view is None:
+            return
+        view.health.succeeded(now)
+        view.load.served(total_s)
+        picked = self._exports.pick(chain, view.horizon.seconds, now)
+        if picked:
+            self._stores.export(replica, picked)
+
+    def failed(
+        self,
+        request: messages.ModelRequest,
+        replica: str,
+        err: errors.UpstreamError,
+    ) -> None:
+        """Counts a failure against its replica."""
+        self.explanations.attempt(
+            request.request_id, f"{replica}: {err.failure.value}: {err}"
+        )
+        self.metrics.count(f"upstream.failures.{err.failure.value}")
+        if err.failure in _HARMLESS:
+            return
+        self._view.failed(replica, at_once=err.failure in _EJECTING)
+
+    def try_retry(self) -> bool:
+        """Takes a retry from the budget."""
+        allowed = self._budget.try_retry(self.now())
+        self.metrics.count("retries" if allowed else "retries.denied")
+        return allowed
--- /dev/null
+++ b/bergamotmill/streams/events.py
@@ -0,0 +1,61 @@
+"""Server-sent events: splitting a byte stream and reading event data."""
+
+import json
+from typing import Any
+
+from bergamotmill.streams import const
+
+END = b"\n\n"
+
+
+class EventSplitter:
+    """Cuts bytes into whole events, each with its closing blank line."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self):
+        self._rest = b""
+
+    @property
+    def partial(self) -> bool:
+        """Whether a part of an event is waiting for its rest."""
+        return bool(self._rest)
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Returns the events that are complete now."""
+        if self._rest:
+            data = self._rest + data
+            self._rest = b""
+        if data.endswith(END) and data.find(END) == len(data) - 2:
+            return [data]
+        parts = data.split(END)
+        self._rest = parts.pop()
+        if len(self._rest) > const.MAX_EVENT_BYTES:
+            raise ValueError("an event is too large")
+        return [part + END for part in parts]
+
+
+def is_comment(event: bytes) -> bool:
+    """Whether an event holds no data."""
+    return event.startswith(b":")
+
+
+def is_done(event: bytes) -> bool:
+    """Whether an event ends the stream."""
+    return event.endswith(const.DONE)
+
+
+def data_of(event: bytes) -> Any:
+    """Returns the JSON of an event."""
+    lines = [
+        line[5:].strip()
+        for line in event.split(b"\n")
+        if line.startswith(b"data:")
+    ]
+    return json.loads(b"\n".join(lines))
+
+
+def encode(value: Any) -> bytes:
+    """Returns an event with JSON data."""
+    text = json.dumps(value, separators=(",", ":"))
+    return b"data: " + text.encode() + END
--- /dev/null
+++ b/bergamotmill/streams/journal.py
@@ -0,0 +1,76 @@
+"""The events of each stream, kept until some time after its end."""
+
+import collections
+from collections.abc import Callable
+
+from bergamotmill.streams import const
+
+
+class Journal:
+    """All events of one stream, as the engines wrote them.
+
+    Attributes:
+        customer: whose stream it is.
+        events: from the first; none is missing or doubled.
+        complete: whether the last event ended the stream.
+    """
+
+    __slots__ = ("complete", "customer", "events", "size")
+
+    def __init__(self, customer: str):
+        self.customer = customer
+        self.events: list[bytes] = []
+        self.complete = False
+        self.size = 0
+
+    def append(self, event: bytes) -> None:
+        """Adds the next event."""
+        if self.complete:
+            raise AssertionError("an event after the end of the stream")
+        self.events.append(event)
+        self.size += len(event)
+
+
+class Journals:
+    """All journals of this router, bounded in time and size."""
+
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
+        self._journals: dict[str, Journal] = {}
+        self._ended: collections.deque[tuple[float, str]] = collections.deque()
+        self._ended_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._journals)
+
+    def open(self, request_id: str, customer: str) -> Journal:
+        """Starts a journal."""
+        if request_id in self._journals:
+            raise AssertionError(f"stream {request_id} is already open")
+        journal = Journal(customer)
+        self._journals[request_id] = journal
+        return journal
+
+    def find(self, request_id: str, customer: str) -> Journal | None:
+        """Returns a customer's own journal."""
+        journal = self._journals.get(request_id)
+        if journal is None or journal.customer != customer:
+            return None
+        return journal
+
+    def end(self, request_id: str) -> None:
+        """Marks a journal as ended; it is kept for some time."""
+        journal = self._journals[request_id]
+        self._ended.append((self._now(), request_id))
+        self._ended_bytes += journal.size
+        self._sweep()
+
+    def _sweep(self) -> None:
+        oldest = self._now() - const.KEPT_AFTER_END_S
+        while self._ended:
+            ended_at, request_id = self._ended[0]
+            full = self._ended_bytes > const.MAX_JOURNAL_BYTES
+            if ended_at > oldest and not full:
+                return
+            self._ended.popleft()
+            self._ended_bytes -= self._journals.pop(request_id).size
--- /dev/null
+++ b/bergamotmill/streams/numbering.py
@@ -0,0 +1,49 @@
+"""Numbers events for the caller, so that a stream can be resumed."""
+
+from collections.abc import Iterator
+
+from bergamotmill.streams import journal as stream_journal
+
+_USAGE_MARKS = (b'"usage":{', b'"usage": {')
+_NO_CHOICES = b'"choices":[]'
+
+
+def has_usage(event: bytes) -> bool:
+    """Whether an event carries the usage of the request."""
+    return _USAGE_MARKS[0] in event or _USAGE_MARKS[1] in event
+
+
+class Numbering:
+    """Writes event ids under one token.
+
+    An event's number is its place among all events of the stream, hidden
+    ones included, so that it means the same to engines and routers.
+    """
+
+    __slots__ = ("_prefix", "_show_usage")
+
+    def __init__(self, show_usage: bool):
+        self._show_usage = show_usage
+        self._prefix = b""
+
+    def set_token(self, token: str) -> None:
+        """Sets the token of the events that follow."""
+        self._prefix = b"id: " + token.encode() + b":"
+
+    def line(self, number: int, event: bytes) -> bytes:
+        """Returns an event with its id."""
+        return self._prefix + str(number).encode() + b"\n" + event
+
+    def shown(self, event: bytes) -> bool:
+        """Whether the caller gets the event."""
+        if self._show_usage or not has_usage(event):
+            return True
+        return _NO_CHOICES not in event.replace(b" ", b"")
+
+    def replay(
+        self, journal: stream_journal.Journal, seen: int
+    ) -> Iterator[bytes]:
+        """Gives the events after the first `seen`."""
+        for number, event in enumerate(journal.events, 1):
+            if number > seen and self.shown(event):
+                yield self.line(number, event)
--- /dev/null
+++ b/bergamotmill/streams/pump.py
@@ -0,0 +1,441 @@
+"""Carries one model request from the engines to its caller.
+
+The pump owns the stream's journal. A caller's side may be lost and another
+attached while it runs; an engine's side may break and be resumed, or the
+answer goes on at another replica from the exact token.
+"""
+
+import asyncio
+import dataclasses
+import json
+
+import loguru
+import result
+
+from bergamotmill.helpers import refusal
+from bergamotmill.helpers import run_state
+from bergamotmill.routing import messages as routing_messages
+from bergamotmill.streams import assemble
+from bergamotmill.streams import body as engine_body
+from bergamotmill.streams import const
+from bergamotmill.streams import context
+from bergamotmill.streams import events as sse
+from bergamotmill.streams import journal as stream_journal
+from bergamotmill.streams import messages
+from bergamotmill.streams import numbering
+from bergamotmill.streams import stream_id
+from bergamotmill.upstream import errors
+from bergamotmill.upstream.engine import config
+from bergamotmill.upstream.engine import const as engine_const
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """How a pump ended; no refusal means a whole answer."""
+
+    refusal: refusal.Refusal | None
+
+
+class Pump:
+    """One request's way through the engines."""
+
+    def __init__(
+        self,
+        shared: context.StreamContext,
+        request: messages.ModelRequest,
+        journal: stream_journal.Journal,
+    ):
+        self._shared = shared
+        self._request = request
+        self._journal = journal
+        self._tracker = run_state.RunTracker()
+        self._sink: messages.Sink | None = None
+        self._sink_gone: asyncio.Future[None] | None = None
+        self._linger: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[Finished] | None = None
+        self._stream = None
+        self._replica = ""
+        self._numbering = numbering.Numbering(request.show_usage)
+        self._mark = request.request_id.encode()
+        self._excluded: set[str] = set()
+        self._decision: routing_messages.Decision | None = None
+        self._first_token_at = 0.0
+        self._started_at = shared.now()
+        self._cached_tokens = -1
+
+    @property
+    def tracker(self) -> run_state.RunTracker:
+        """Whether an engine may have run the request."""
+        return self._tracker
+
+    @property
+    def journal(self) -> stream_journal.Journal:
+        """The stream's events."""
+        return self._journal
+
+    @property
+    def request(self) -> messages.ModelRequest:
+        """The request that is served."""
+        return self._request
+
+    @property
+    def decision(self) -> routing_messages.Decision | None:
+        """The latest decision."""
+        return self._decision
+
+    def start(
+        self,
+        taken_over: object | None = None,
+        at: stream_id.StreamId | None = None,
+    ) -> None:
+        """Starts the pump; it may go on with a stream taken over."""
+        self._stream = taken_over
+        if at is not None:
+            self._tracker.sending()
+            self._replica = at.replica
+            self._set_prefix(at.replica_incarnation)
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops the pump; its journal stays for some time."""
+        if self._sink is not None:
+            self._sink.abort()
+            self._detach()
+        self._task.cancel()
+        await asyncio.wait({self._task})
+
+    async def serve(self, sink: messages.Sink, seen: int) -> Finished | None:
+        """Attaches a caller's side and waits until it is done.
+
+        Returns:
+            None when the sink was replaced or lost.
+        """
+        gone = self._attach(sink, seen)
+        await asyncio.wait(
+            {self._task, gone}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if gone.done():
+            return None
+        return self._task.result()
+
+    def _attach(self, sink: messages.Sink, seen: int) -> asyncio.Future[None]:
+        if self._sink is not None:
+            self._sink.abort()
+            self._detach()
+        self._cancel_linger()
+        self._sink = sink
+        self._sink_gone = asyncio.get_running_loop().create_future()
+        for line in self._numbering.replay(self._journal, seen):
+            sink.write(line)
+        return self._sink_gone
+
+    def caller_left(self, sink: messages.Sink) -> None:
+        """Takes note that a caller's side was lost.
+
+        The engine goes on for a short time, in which the caller may resume
+        here or elsewhere.
+        """
+        if sink is not self._sink:
+            return
+        self._detach()
+        loop = asyncio.get_running_loop()
+        self._linger = loop.call_later(const.LINGER_S, self._task.cancel)
+
+    def _detach(self) -> None:
+        self._sink = None
+        if self._sink_gone is not None and not self._sink_gone.done():
+            self._sink_gone.set_result(None)
+
+    def _cancel_linger(self) -> None:
+        if self._linger is not None:
+            self._linger.cancel()
+            self._linger = None
+
+    async def _run(self) -> Finished:
+        try:
+            left = self._request.deadline - self._shared.now()
+            async with asyncio.timeout(max(0.0, left)):
+                refused = await self._attempts()
+        except TimeoutError:
+            await self._cancel_upstream()
+            refused = self._refuse(
+                504, refusal.CODE_DEADLINE, "the deadline has passed"
+            )
+        except asyncio.CancelledError:
+            await self._cancel_upstream()
+            self._shared.metrics.count("streams.abandoned")
+            raise
+        finally:
+            self._cancel_linger()
+            self._shared.pump_ended(self)
+        return Finished(refused)
+
+    async def _attempts(self) -> refusal.Refusal | None:
+        resumes = 0
+        if self._journal.complete:
+            return None
+        while True:
+            try:
+                if self._stream is None:
+                    opened = await self._open()
+                    if opened.is_err():
+                        return opened.err()
+                await self._relay()
+                return None
+            except errors.UpstreamError as err:
+                self._note_failure(err)
+                resumes += 1
+                refused = await self._recover(err, resumes)
+                if refused is not None:
+                    return refused
+
+    async def _open(self) -> result.Result[None, refusal.Refusal]:
+        decided = await self._shared.decide(
+            self._request, frozenset(self._excluded)
+        )
+        if decided.is_err():
+            missing = decided.err()
+            return result.Err(
+                self._refuse(
+                    503,
+                    refusal.CODE_NO_REPLICA,
+                    missing.reason,
+                    missing.retry_after_s,
+                )
+            )
+        decision = decided.ok()
+        self._decision = decision
+        self._replica = decision.choice.replica
+        link = self._shared.links.get(self._replica)
+        call = self._call_of(decision)
+        self._tracker.sending()
+        self._shared.sent(decision)
+        try:
+            self._stream = await link.open(call)
+        except errors.UpstreamError as err:
+            if not err.ran:
+                self._tracker.refused_unrun()
+            raise
+        self._check_head(decision, self._stream.head)
+        self._set_prefix(self._stream.head.incarnation)
+        return result.Ok(None)
+
+    def _call_of(
+        self, decision: routing_messages.Decision
+    ) -> config.GenerateCall:
+        request = self._request
+        body = engine_body.for_engine(request)
+        if self._journal.events:
+            text, tokens = assemble.text_of(self._journal.events)
+            body = engine_body.continued(request.path, body, text, tokens)
+        choice = decision.choice
+        return config.GenerateCall(
+            request_id=request.request_id,
+            path=request.path,
+            body=json.dumps(body).encode(),
+            priority=request.request_class.priority,
+            incarnation=choice.incarnation,
+            version=request.model.served_version,
+            chain=decision.ask.chain.digests,
+            import_from=self._shared.store_for(decision),
+        )
+
+    def _check_head(self, decision, head: config.StreamHead) -> None:
+        """Asserts that the answer comes from the weights asked for."""
+        if head.version != self._request.model.served_version:
+            raise errors.UpstreamError(
+                errors.Failure.WRONG_TARGET,
+                f"answer of version {head.version!r}",
+                sent=True,
+            )
+        self._shared.head_seen(self._replica, head)
+
+    def _set_prefix(self, replica_incarnation: int) -> None:
+        token = stream_id.StreamId(
+            self._request.request_id,
+            self._shared.router,
+            self._shared.incarnation,
+            self._replica,
+            replica_incarnation,
+        ).token(self._shared.fleet_key, self._request.customer.name)
+        self._numbering.set_token(token)
+
+    async def _relay(self) -> None:
+        """Passes events on until the stream is complete."""
+        stream = self._stream
+        splitter = sse.EventSplitter()
+        journal = self._journal
+        line = self._numbering.line
+        while True:
+            data = await stream.read()
+            if not data:
+                raise errors.UpstreamError(
+                    errors.Failure.LOST, "ended too early", sent=True
+                )
+            out = []
+            for event in splitter.feed(data):
+                if event.startswith(b":"):
+                    self._comment(event)
+                    continue
+                self._check_event(event)
+                journal.append(event)
+                if sse.is_done(event):
+                    journal.complete = True
+                elif numbering.has_usage(event):
+                    self._usage(event)
+                    if not self._numbering.shown(event):
+                        continue
+                out.append(line(len(journal.events), event))
+            if out:
+                await self._deliver(out)
+            if journal.complete:
+                stream.finish()
+                self._stream = None
+                return
+
+    def _check_event(self, event: bytes) -> None:
+        if sse.is_done(event):
+            return
+        if self._mark not in event:
+            raise errors.UpstreamError(
+                errors.Failure.CROSSED, "an event of another", sent=True
+            )
+        if not self._first_token_at:
+            self._first_token_at = self._shared.now()
+            self._shared.first_token(
+                self._request, self._first_token_at - self._started_at
+            )
+
+    async def _deliver(self, out: list[bytes]) -> None:
+        sink = self._sink
+        if sink is None:
+            return
+        sink.write(out[0] if len(out) == 1 else b"".join(out))
+        if not sink.write_paused:
+            return
+        try:
+            async with asyncio.timeout(const.CALLER_STALL_S):
+                await sink.drain()
+        except TimeoutError:
+            sink.abort()
+            self.caller_left(sink)
+
+    def _comment(self, event: bytes) -> None:
+        if event.startswith(engine_const.MOVED_COMMENT):
+            raise errors.UpstreamError(
+                errors.Failure.MOVED, "read elsewhere", sent=True
+            )
+        if self._sink is not None:
+            self._sink.write(const.KEEP_ALIVE)
+
+    def _usage(self, event: bytes) -> None:
+        usage = sse.data_of(event).get("usage") or {}
+        details = usage.get("prompt_tokens_details") or {}
+        cached = details.get("cached_tokens")
+        if cached is None or self._decision is None:
+            return
+        self._cached_tokens = int(cached)
+        self._shared.answered(
+            self._decision,
+            self._cached_tokens,
+            self._first_token_at - self._started_at,
+            self._shared.now() - self._started_at,
+        )
+
+    def _note_failure(self, err: errors.UpstreamError) -> None:
+        loguru.logger.info(
+            "streams: {} at {}: {} ({}).",
+            self._request.request_id,
+            self._replica,
+            err.failure.value,
+            err,
+        )
+        self._shared.failed(self._request, self._replica, err)
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    async def _recover(
+        self, err: errors.UpstreamError, resumes: int
+    ) -> refusal.Refusal | None:
+        """Prepares another attempt, or says why there is none."""
+        if err.failure is errors.Failure.MOVED:
+            if self._sink is not None:
+                self._sink.abort()
+                self._detach()
+            return self._refuse(
+                409, refusal.CODE_STREAM_LOST, "resumed elsewhere"
+            )
+        if err.failure is errors.Failure.BAD_REQUEST:
+            return self._pass_on(err)
+        if resumes > const.MAX_RESUMES:
+            return self._give_up(err)
+        if err.sent and err.ran and await self._resume_here():
+            return None
+        return self._go_elsewhere(err)
+
+    async def _resume_here(self) -> bool:
+        """Takes the running stream up again on a new connection."""
+        link = self._shared.links.get(self._replica)
+        if link is None:
+            return False
+        seen = len(self._journal.events)
+        try:
+            self._stream = await link.resume(self._request.request_id, seen)
+        except errors.UpstreamError:
+            return False
+        if self._decision is not None:
+            incarnation = self._decision.choice.incarnation
+            if self._stream.head.incarnation != incarnation:
+                self._stream.close()
+                self._stream = None
+                return False
+        self._shared.metrics.count("streams.resumed")
+        self._set_prefix(self._stream.head.incarnation)
+        return True
+
+    def _go_elsewhere(
+        self, err: errors.UpstreamError
+    ) -> refusal.Refusal | None:
+        self._excluded.add(self._replica)
+        if err.ran and not self._request.request_class.idempotent:
+            return self._give_up(err)
+        if self._journal.events and not engine_body.may_continue(
+            self._request.body
+        ):
+            return self._give_up(err)
+        if err.ran and not self._shared.try_retry():
+            return self._give_up(err)
+        name = "continued" if self._journal.events else "retried"
+        self._shared.metrics.count(f"streams.{name}")
+        return None
+
+    def _pass_on(self, err: errors.UpstreamError) -> refusal.Refusal:
+        message = err.body.decode("utf-8", "replace")[:500] or str(err)
+        try:
+            message = json.loads(err.body)["error"]["message"]
+        except (ValueError, KeyError, TypeError):
+            pass
+        return self._refuse(err.status, refusal.CODE_INVALID, message)
+
+    def _give_up(self, err: errors.UpstreamError) -> refusal.Refusal:
+        code = refusal.CODE_UPSTREAM
+        if self._tracker.state is run_state.RunState.NOT_SENT:
+            code = refusal.CODE_OVERLOADED
+        return self._refuse(502, code, f"the engine failed: {err}", 1.0)
+
+    def _refuse(
+        self, status: int, code: str, message: str, retry_after_s: float = 0.0
+    ) -> refusal.Refusal:
+        return refusal.Refusal(
+            status, code, message, self._tracker.state, retry_after_s
+        )
+
+    async def _cancel_upstream(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+        link = self._shared.links.get(self._replica)
+        sent = self._tracker.state is not run_state.RunState.NOT_SENT
+        if link is not None and sent and not self._journal.complete:
+            await link.cancel(self._request.request_id)
--- /dev/null
+++ b/bergamotmill/streams/stream_id.py
@@ -0,0 +1,66 @@
+"""Event ids from which any router can resume a stream.
+
+An id is `TOKEN:SEEN`. The token names the request, the router and the
+replica that serve it, and ends in a digest keyed with the fleet's key that
+also covers the customer, so that nobody can resume another's stream.
+"""
+
+import dataclasses
+import hashlib
+
+from bergamotmill.streams import const
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamId:
+    """Where a stream runs."""
+
+    request_id: str
+    router: str
+    router_incarnation: int
+    replica: str
+    replica_incarnation: int
+
+    def token(self, fleet_key: str, customer: str) -> str:
+        """Returns the signed form."""
+        text = self._text()
+        return f"{text}~{_mac(text, fleet_key, customer)}"
+
+    def _text(self) -> str:
+        return "~".join(
+            (
+                self.request_id,
+                self.router,
+                str(self.router_incarnation),
+                self.replica,
+                str(self.replica_incarnation),
+            )
+        )
+
+
+def parse(
+    event_id: str, fleet_key: str, customer: str
+) -> tuple[StreamId, int] | None:
+    """Returns the stream and the events seen; None when it is not valid."""
+    token, _, seen = event_id.rpartition(":")
+    text, _, mac = token.rpartition("~")
+    parts = text.split("~")
+    if len(parts) != 5 or not seen.isdecimal():
+        return None
+    if mac != _mac(text, fleet_key, customer):
+        return None
+    try:
+        found = StreamId(
+            parts[0], parts[1], int(parts[2]), parts[3], int(parts[4])
+        )
+    except ValueError:
+        return None
+    return found, int(seen)
+
+
+def _mac(text: str, fleet_key: str, customer: str) -> str:
+    data = f"{text}\0{customer}".encode()
+    key = hashlib.blake2b(fleet_key.encode()).digest()
+    return hashlib.blake2b(
+        data, digest_size=const.MAC_BYTES, key=key
+    ).hexdigest()
--- /dev/null
+++ b/bergamotmill/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Engines, plain services and stores behind the routers."""
--- /dev/null
+++ b/bergamotmill/upstream/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Engines with the usual completions interface over HTTP."""
--- /dev/null
+++ b/bergamotmill/upstream/engine/link.py
@@ -0,0 +1,292 @@
+"""Calls to one engine."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+
+import result
+
+from bergamotmill import core
+from bergamotmill.helpers import http_client
+from bergamotmill.helpers import http_errors
+from bergamotmill.upstream import drivers
+from bergamotmill.upstream import errors
+from bergamotmill.upstream.engine import config
+from bergamotmill.upstream.engine import const
+
+_REFUSALS = (409, 429, 503)
+
+
+class EngineStream:
+    """The events of one request as they come from the engine."""
+
+    def __init__(
+        self,
+        conn: http_client.ClientConnection,
+        pool: http_client.Pool,
+        head: config.StreamHead,
+    ):
+        self._conn = conn
+        self._pool = pool
+        self.head = head
+
+    async def read(self) -> bytes:
+        """Returns the next bytes; `b""` at the end of the answer."""
+        try:
+            return await self._conn.read()
+        except http_errors.SilenceError as err:
+            self._pool.suspect(self._conn.address)
+            raise errors.UpstreamError(
+                errors.Failure.SILENT, str(err), sent=True
+            )
+        except http_errors.HttpError as err:
+            raise errors.UpstreamError(errors.Failure.LOST, str(err), sent=True)
+
+    def finish(self) -> None:
+        """Gives the connection back after a whole answer."""
+        self._pool.release(self._conn)
+
+    def close(self) -> None:
+        """Cuts the connection."""
+        self._conn.close()
+
+
+@drivers.ENGINES.register(const.DRIVER)
+class EngineLink:
+    """One engine's address and the connections to it."""
+
+    def __init__(self, replica: core.Replica):
+        self._replica = replica
+        self._pool = http_client.Pool()
+
+    @property
+    def replica(self) -> core.Replica:
+        """The replica as configured."""
+        return self._replica
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.close()
+
+    async def open(self, call: config.GenerateCall) -> EngineStream:
+        """Sends a request and waits for the head of its answer.
+
+        Raises:
+            errors.UpstreamError: there is no stream; its `sent` and `ran`
+                tell whether anything may have run.
+        """
+        headers = _call_headers(call)
+        conn = await self._acquire(fresh=False)
+        silence = call.silence_s or const.SILENCE_S
+        try:
+            head = await self._send(
+                conn, "POST", call.path, headers, call.body, silence
+            )
+        except errors.UpstreamError as err:
+            if err.failure is not errors.Failure.LOST:
+                raise
+            # A pooled connection may have been closed while idle.
+            conn = await self._acquire(fresh=True)
+            head = await self._send(
+                conn, "POST", call.path, headers, call.body, silence
+            )
+        return await self._stream_of(conn, head, call.request_id)
+
+    async def resume(self, request_id: str, seen: int) -> EngineStream:
+        """Takes over a running stream after `seen` events."""
+        target = f"{const.PATH_STREAMS}{request_id}?seen={seen}"
+        conn = await self._acquire(fresh=True)
+        head = await self._send(conn, "GET", target, [], b"", const.SILENCE_S)
+        return await self._stream_of(conn, head, request_id)
+
+    async def cancel(self, request_id: str) -> None:
+        """Asks the engine to stop a stream; failures do not matter."""
+        target = f"{const.PATH_STREAMS}{request_id}"
+        with contextlib.suppress(http_errors.HttpError, TimeoutError):
+            await self._fetch("DELETE", target, b"", const.CANCEL_TIMEOUT_S)
+
+    async def report(self) -> result.Result[config.LoadReport, str]:
+        """Reads the engine's load."""
+        now = asyncio.get_running_loop().time()
+        try:
+            head, body = await self._fetch(
+                "GET", const.PATH_REPORT, b"", const.REPORT_TIMEOUT_S
+            )
+            if head.status != 200:
+                return result.Err(f"status {head.status}")
+            return result.Ok(config.report_from_json(json.loads(body), now))
+        except (http_errors.HttpError, TimeoutError) as err:
+            self._pool.suspect(self._replica.address)
+            return result.Err(repr(err))
+        except (ValueError, KeyError, TypeError) as err:
+            return result.Err(f"unreadable report: {err!r}")
+
+    async def cache_events(
+        self, after: int
+    ) -> result.Result[tuple[int, list[config.CacheEvent]], str]:
+        """Reads cache events; returns the incarnation and the events."""
+        target = f"{const.PATH_EVENTS}?after={after}&limit={const.EVENTS_MAX}"
+        try:
+            head, body = await self._fetch(
+                "GET", target, b"", const.REPORT_TIMEOUT_S
+            )
+            if head.status != 200:
+                return result.Err(f"status {head.status}")
+            value = json.loads(body)
+            found = [
+                config.CacheEvent(int(item[0]), bool(item[1]), int(item[2]))
+                for item in value["events"]
+            ]
+            return result.Ok((int(value["incarnation"]), found))
+        except (
+            http_errors.HttpError,
+            TimeoutError,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as err:
+            return result.Err(repr(err))
+
+    async def order(self, order: config.Order) -> result.Result[None, str]:
+        """Gives an order; the engine may refuse an old fencing number."""
+        body = json.dumps(dataclasses.asdict(order)).encode()
+        try:
+            head, answer = await self._fetch(
+                "POST", const.PATH_ORDERS, body, const.ORDER_TIMEOUT_S
+            )
+        except (http_errors.HttpError, TimeoutError) as err:
+            return result.Err(repr(err))
+        if head.status != 200:
+            return result.Err(answer.decode("utf-8", "replace"))
+        return result.Ok(None)
+
+    async def export(
+        self, store: str, chain: tuple[int, ...]
+    ) -> result.Result[None, str]:
+        """Asks the engine to copy cached blocks to a store."""
+        body = json.dumps({"store": store, "chain": list(chain)}).encode()
+        try:
+            head, _ = await self._fetch(
+                "POST", const.PATH_EXPORT, body, const.ORDER_TIMEOUT_S
+            )
+        except (http_errors.HttpError, TimeoutError) as err:
+            return result.Err(repr(err))
+        if head.status != 200:
+            return result.Err(f"status {head.status}")
+        return result.Ok(None)
+
+    async def _fetch(self, method, target, body, timeout_s):
+        return await http_client.fetch(
+            self._pool,
+            self._replica.address,
+            method,
+            target,
+            body=body,
+            timeout_s=timeout_s,
+        )
+
+    async def _acquire(self, fresh: bool) -> http_client.ClientConnection:
+        try:
+            return await self._pool.acquire(self._replica.address, fresh)
+        except http_errors.ConnectError as err:
+            raise errors.UpstreamError(
+                errors.Failure.CONNECT, str(err), sent=False
+            )
+
+    async def _send(self, conn, method, target, headers, body, silence_s):
+        try:
+            return await conn.request(
+                method, target, headers, body, silence_s=silence_s
+            )
+        except http_errors.SilenceError as err:
+            self._pool.suspect(conn.address)
+            raise errors.UpstreamError(
+                errors.Failure.SILENT, str(err), sent=True
+            )
+        except http_errors.HttpError as err:
+            conn.close()
+            raise errors.UpstreamError(
+                errors.Failure.LOST, str(err), sent=conn.sent
+            )
+        except BaseException:
+            conn.close()
+            raise
+
+    async def _stream_of(
+        self,
+        conn: http_client.ClientConnection,
+        head: http_client.ResponseHead,
+        request_id: str,
+    ) -> EngineStream:
+        if head.status != 200:
+            raise await self._refusal(conn, head)
+        found = config.StreamHead(
+            int(head.text(const.HEADER_INCARNATION, "0")),
+            head.text(const.HEADER_VERSION),
+            head.text(const.HEADER_REQUEST_ID),
+            _report_of(head),
+        )
+        if found.request_id != request_id:
+            conn.close()
+            raise errors.UpstreamError(
+                errors.Failure.CROSSED,
+                f"answer to {found.request_id!r}",
+                sent=True,
+            )
+        return EngineStream(conn, self._pool, found)
+
+    async def _refusal(
+        self,
+        conn: http_client.ClientConnection,
+        head: http_client.ResponseHead,
+    ) -> errors.UpstreamError:
+        try:
+            body = await conn.read_all(const.MAX_ERROR_BYTES)
+        except http_errors.HttpError:
+            body = b""
+            conn.close()
+        self._pool.release(conn)
+        not_run = head.text(const.HEADER_NOT_RUN) == "1"
+        failure = errors.Failure.BROKEN
+        if head.status in _REFUSALS:
+            failure = errors.Failure.REFUSED
+        if head.status == 409:
+            failure = errors.Failure.WRONG_TARGET
+        elif 400 <= head.status < 500 and head.status != 429:
+            failure = errors.Failure.BAD_REQUEST
+        return errors.UpstreamError(
+            failure,
+            f"status {head.status}",
+            sent=True,
+            ran=not not_run,
+            status=head.status,
+            body=body,
+        )
+
+
+def _call_headers(call: config.GenerateCall) -> list[tuple[bytes, bytes]]:
+    lines = [
+        (const.HEADER_REQUEST_ID, call.request_id),
+        (const.HEADER_PRIORITY, str(call.priority)),
+        (const.HEADER_INCARNATION, str(call.incarnation)),
+        (const.HEADER_VERSION, call.version),
+        ("content-type", "application/json"),
+    ]
+    if call.chain:
+        chain = ",".join(f"{item:016x}" for item in call.chain)
+        lines.append((const.HEADER_CHAIN, chain))
+    if call.import_from:
+        lines.append((const.HEADER_IMPORT, call.import_from))
+    return [(name.encode(), value.encode()) for name, value in lines]
+
+
+def _report_of(head: http_client.ResponseHead) -> config.LoadReport | None:
+    text = head.text(const.HEADER_LOAD)
+    if not text:
+        return None
+    now = asyncio.get_running_loop().time()
+    try:
+        return config.report_from_json(json.loads(text), now)
+    except (ValueError, KeyError, TypeError):
+        return None
--- /dev/null
+++ b/bergamotmill/upstream/kept/__init__.py
@@ -0,0 +1,1 @@
+"""The store of kept KV cache."""
--- /dev/null
+++ b/bergamotmill/upstream/plain/__init__.py
@@ -0,0 +1,1 @@
+"""Plain HTTP services beside the engines."""
--- /dev/null
+++ b/bergamotmill/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that know nothing of routing."""
--- /dev/null
+++ b/bergamotmill/util/virtual_loop.py
@@ -0,0 +1,42 @@
+"""An event loop whose time jumps to the next timer when nothing is ready."""
+
+import asyncio
+from collections.abc import Coroutine
+import selectors
+from typing import Any
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Returns at once and reports how long it should have waited."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout=None):
+        """Advances the virtual time by the timeout when idle."""
+        ready = super().select(0)
+        if ready:
+            return ready
+        if timeout is None:
+            raise RuntimeError("virtual loop: nothing left to wait for")
+        self.now += timeout
+        return ready
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """A selector loop on virtual time."""
+
+    def __init__(self):
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Returns virtual seconds."""
+        return self._jumping.now
+
+
+def run(main: Coroutine[Any, Any, Any]) -> Any:
+    """Runs a coroutine to its end on a new virtual loop."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(main)
