--- /dev/null
+++ b/bergamotmill/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints its figures, as JSON on demand."""
--- /dev/null
+++ b/bergamotmill/bench/__main__.py
@@ -0,0 +1,34 @@
+"""Runs one measurement: `python -m bergamotmill.bench NAME`."""
+
+import argparse
+import json
+import sys
+
+import loguru
+
+from bergamotmill.bench import policy
+
+COMMANDS = {"policy": policy}
+
+
+def main() -> int:
+    """Runs the program and returns its exit status."""
+    parser = argparse.ArgumentParser(prog="script/bench")
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name, module in COMMANDS.items():
+        command = commands.add_parser(name, help=module.__doc__)
+        module.add_arguments(command)
+        command.add_argument("--json", action="store_true")
+    arguments = parser.parse_args()
+    loguru.logger.remove()
+    module = COMMANDS[arguments.command]
+    result = module.run(arguments)
+    if arguments.json:
+        print(json.dumps(result, indent=1))
+    else:
+        module.show(result)
+    return int(bool(result.get("failed", False)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bergamotmill/bench/simulation.py
@@ -0,0 +1,446 @@
+"""Routers with separate state before modelled replicas, on virtual time.
+
+The routers run the product's own decision code; only the network and the
+engines are modelled.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+from typing import Any
+
+from bergamotmill import core
+from bergamotmill.bench import workload as workloads
+from bergamotmill.routing import decision as routing_decision
+from bergamotmill.routing import kept as kept_export
+from bergamotmill.routing import messages
+from bergamotmill.routing import view as fleet_view
+from bergamotmill.standin import engine_model
+from bergamotmill.upstream.engine import config
+from bergamotmill.util import rendezvous
+
+ROUTERS = 7
+MODEL = "drafter"
+VERSION = "v1"
+ADDRESS_LIFETIME_S = 10.0
+REPORT_PERIOD_S = 0.5
+EVENT_PERIOD_S = 1.0
+EVENTS_PER_POLL = 256
+CRASH_EVERY_S = 20.0
+CRASH_LASTS_S = 3.0
+STORE_DOWN_EVERY_S = 30.0
+STORE_DOWN_LASTS_S = 10.0
+SHIFT_EVERY_S = 20.0
+LAG_S = 1.5
+LOST_EVENTS = 0.3
+KEPT_PIECES = 400
+FAULTS = ("lag", "gaps", "crash", "shift", "kv-down")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """One request's outcome; a negative time means a refusal."""
+
+    shape: workloads.ClassShape
+    at: float
+    first_token_s: float
+    prompt_tokens: int
+    cached_tokens: int
+    wasted_tokens: int
+
+
+class _Replica:
+    """A modelled engine with its incarnation."""
+
+    def __init__(self, name: str, speed: engine_model.Speed, place: int):
+        self.name = name
+        self.speed = speed
+        self.place = place
+        self.model = engine_model.EngineModel(speed)
+        self.incarnation = 1
+        self.up = True
+        self.scheduled: float | None = None
+
+    def report(self, now: float) -> config.LoadReport:
+        """Returns what the engine would report now."""
+        loaded = config.LoadedModel(MODEL, VERSION, config.ModelState.READY)
+        return config.LoadReport(
+            self.incarnation,
+            now,
+            self.model.queued_tokens(now),
+            self.model.running,
+            self.speed.slots,
+            self.model.accepted_tokens,
+            self.speed.prefill_tokens_per_s,
+            {MODEL: loaded},
+        )
+
+
+class _Router:
+    """One router's own view and policy."""
+
+    def __init__(self, simulation: "Simulation", index: int, policy: str):
+        self.index = index
+        workload = simulation.workload
+        self.place = index % workload.data_centres
+        self.view = fleet_view.FleetView(lambda: simulation.now)
+        weights = messages.Weights(
+            workload.latency_weight, workload.waste_weight
+        )
+        rng = random.Random(f"{simulation.seed}/router/{index}")
+        self.policy = routing_decision.POLICIES.get(policy)(
+            self.view, weights, rng
+        )
+        worths = [shape.worth for shape in workload.classes]
+        self.policy.set_fleet(ROUTERS, sum(worths) / len(worths))
+        replicas = {
+            item.name: core.Replica(
+                item.name,
+                "",
+                str(item.place),
+                slots=item.speed.slots,
+                prefill_tokens_per_s=item.speed.prefill_tokens_per_s,
+            )
+            for item in simulation.replicas.values()
+        }
+        self.view.adopt(replicas, self._distance(workload))
+        popularity = getattr(self.policy, "popularity", None)
+        self.exports = None
+        if popularity is not None:
+            self.exports = kept_export.ExportPolicy(popularity, 0.0)
+
+    def _distance(self, workload: workloads.Workload):
+        def distance(data_centre: str) -> float:
+            near = data_centre == str(self.place)
+            return workload.near_s if near else workload.far_s
+
+        return distance
+
+
+class _Flight:
+    """One request on its way."""
+
+    def __init__(self, request: workloads.Request, router: _Router):
+        self.request = request
+        self.router = router
+        self.decision: messages.Decision | None = None
+        self.excluded: frozenset[str] = frozenset()
+        self.best_pieces = 0
+
+
+class Simulation:
+    """One run of one policy on one workload under faults."""
+
+    def __init__(
+        self,
+        workload: workloads.Workload,
+        policy: str,
+        faults: frozenset[str],
+        seed: int,
+        seconds: float,
+        load: float,
+        warm_up_s: float,
+        spread: int,
+    ):
+        self.workload = workload
+        self.seed = seed
+        self.now = 0.0
+        self._faults = faults
+        self._seconds = seconds
+        self._load = load
+        self._warm_up_s = warm_up_s
+        self._spread = spread
+        self._rng = random.Random(f"{seed}/network")
+        self._events: list[tuple[float, int, Any, tuple]] = []
+        self._sequence = itertools.count()
+        self.replicas = {
+            f"replica-{index}": _Replica(
+                f"replica-{index}",
+                workload.speed,
+                index % workload.data_centres,
+            )
+            for index in range(workload.replicas)
+        }
+        self._kept = engine_model.PieceCache(KEPT_PIECES)
+        self.routers = [
+            _Router(self, index, policy) for index in range(ROUTERS)
+        ]
+        for router in self.routers:
+            attach = getattr(router.policy, "attach", None)
+            if attach is not None:
+                attach(self)
+        self._flights: dict[str, _Flight] = {}
+        self.served: list[Served] = []
+
+    def at(self, moment: float, action: Any, *arguments: Any) -> None:
+        """Schedules an action."""
+        heapq.heappush(
+            self._events, (moment, next(self._sequence), action, arguments)
+        )
+
+    def run(self) -> list[Served]:
+        """Runs to the end and returns the outcomes after the warm-up."""
+        shift = SHIFT_EVERY_S if "shift" in self._faults else 0.0
+        for request in workloads.draw(
+            self.workload, self.seed, self._seconds, self._load, shift
+        ):
+            self.at(request.at, self._arrive, request)
+        for router in self.routers:
+            for replica in self.replicas.values():
+                pause = self._rng.uniform(0.0, REPORT_PERIOD_S)
+                router.view.on_report(replica.name, replica.report(0.0))
+                self.at(pause, self._poll_report, router, replica)
+                pause = self._rng.uniform(0.0, EVENT_PERIOD_S)
+                self.at(pause, self._poll_events, router, replica, [0, 0])
+        if "crash" in self._faults:
+            self.at(CRASH_EVERY_S, self._crash)
+        while self._events:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            if self.now > self._seconds + 60.0:
+                break
+            action(*arguments)
+        return self.served
+
+    def _lag(self) -> float:
+        return LAG_S if "lag" in self._faults else 0.001
+
+    def _poll_report(self, router: _Router, replica: _Replica) -> None:
+        if replica.up:
+            report = replica.report(self.now)
+            self.at(
+                self.now + self._lag(),
+                router.view.on_report,
+                replica.name,
+                report,
+            )
+        else:
+            router.view.on_report_missing(replica.name)
+        if self.now < self._seconds:
+            pause = REPORT_PERIOD_S * self._rng.uniform(0.8, 1.2)
+            self.at(self.now + pause, self._poll_report, router, replica)
+
+    def _poll_events(
+        self, router: _Router, replica: _Replica, state: list[int]
+    ) -> None:
+        incarnation, after = state
+        if replica.up and incarnation == replica.incarnation:
+            events = [
+                config.CacheEvent(sequence, bool(stored), digest)
+                for sequence, stored, digest in replica.model.cache.events
+                if sequence > after
+            ][:EVENTS_PER_POLL]
+            if events:
+                state[1] = events[-1].sequence
+                if "gaps" in self._faults:
+                    events = [
+                        event
+                        for event in events
+                        if self._rng.random() >= LOST_EVENTS
+                    ]
+            self.at(
+                self.now + self._lag(),
+                router.view.on_cache_events,
+                replica.name,
+                incarnation,
+                events,
+                after,
+            )
+        elif replica.up:
+            state[:] = [replica.incarnation, 0]
+        if self.now < self._seconds:
+            pause = EVENT_PERIOD_S * self._rng.uniform(0.8, 1.2)
+            self.at(self.now + pause, self._poll_events, router, replica, state)
+
+    def _arrive(self, request: workloads.Request) -> None:
+        router = self._router_of(request)
+        flight = _Flight(request, router)
+        self._flights[request.name] = flight
+        self._decide(flight)
+
+    def _router_of(self, request: workloads.Request) -> _Router:
+        """Returns a router of the customer's, as callers were told.
+
+        A caller keeps the answer for its lifetime, then asks again.
+        """
+        names = [str(index) for index in range(ROUTERS)]
+        own = rendezvous.top(request.customer, names, self._spread)
+        turn = int(self.now / ADDRESS_LIFETIME_S)
+        chosen = rendezvous.rank(f"{request.case}/{turn}", own)[0]
+        return self.routers[int(chosen)]
+
+    def _store_up(self) -> bool:
+        if "kv-down" not in self._faults:
+            return True
+        return self.now % STORE_DOWN_EVERY_S >= STORE_DOWN_LASTS_S
+
+    def kept_pieces(self, chain: tuple[int, ...]) -> int:
+        """Returns how many pieces the store holds and can give now."""
+        return self._kept.depth(chain) if self._store_up() else 0
+
+    def _decide(self, flight: _Flight) -> None:
+        request = flight.request
+        kept = self.kept_pieces(request.chain.digests)
+        ask = messages.Ask(
+            request.name,
+            request.customer,
+            MODEL,
+            "",
+            VERSION,
+            "",
+            request.shape.priority,
+            request.shape.worth,
+            request.chain,
+            kept * workloads.PIECE_TOKENS,
+            self.workload.speed.import_tokens_per_s if kept else 0.0,
+            flight.excluded,
+        )
+        decided = flight.router.policy.decide(ask, self.now)
+        if decided.is_err():
+            if self.now - request.at < 5.0:
+                flight.excluded = frozenset()
+                self.at(self.now + 0.2, self._decide, flight)
+                return
+            self._done(flight, -1.0, 0, 0)
+            return
+        flight.decision = decided.ok()
+        self._send(flight)
+
+    def _send(self, flight: _Flight) -> None:
+        decision = flight.decision
+        replica = self.replicas[decision.choice.replica]
+        view = flight.router.view.views[replica.name]
+        flight.router.policy.sent(decision, self.now)
+        tokens = max(
+            0.0,
+            decision.ask.chain.total_tokens - decision.choice.cached_tokens,
+        )
+        view.load.sent(tokens, decision.ask.priority, self.now)
+        self.at(self.now + view.distance_s, self._receive, flight, replica)
+
+    def _receive(self, flight: _Flight, replica: _Replica) -> None:
+        if not replica.up:
+            self._fail(flight, replica.name)
+            return
+        request = flight.request
+        kept = 0
+        if flight.decision.choice.imports:
+            kept = self.kept_pieces(request.chain.digests)
+        flight.best_pieces = max(
+            self.kept_pieces(request.chain.digests),
+            max(
+                other.model.cache.depth(request.chain.digests)
+                for other in self.replicas.values()
+                if other.up
+            ),
+        )
+        replica.model.submit(
+            engine_model.Job(
+                request.name,
+                request.shape.priority,
+                request.chain.digests,
+                workloads.PIECE_TOKENS,
+                request.chain.total_tokens,
+                request.shape.output_tokens,
+                kept,
+            )
+        )
+        self._work(replica)
+        report = replica.report(self.now)
+        self.at(
+            self.now + self._lag(),
+            flight.router.view.on_report,
+            replica.name,
+            report,
+        )
+
+    def _work(self, replica: _Replica) -> None:
+        for ready in replica.model.advance(self.now):
+            flight = self._flights.get(ready.job.name)
+            if flight is not None:
+                self._first_token(flight, replica, ready)
+        due = replica.model.next_time(self.now)
+        if due is not None and due != replica.scheduled:
+            replica.scheduled = due
+            self.at(max(due, self.now), self._wake, replica, due)
+
+    def _wake(self, replica: _Replica, due: float) -> None:
+        if replica.scheduled == due:
+            replica.scheduled = None
+            self._work(replica)
+
+    def _first_token(self, flight, replica, ready) -> None:
+        request = flight.request
+        pieces = (ready.cached_tokens + ready.imported_tokens) // (
+            workloads.PIECE_TOKENS
+        )
+        wasted = max(0, flight.best_pieces - pieces) * workloads.PIECE_TOKENS
+        first = ready.at + flight.decision.choice.distance_s - request.at
+        got = ready.cached_tokens + ready.imported_tokens
+        self._done(flight, first, got, wasted)
+        ends = ready.at + (
+            request.shape.output_tokens * self.workload.speed.token_s
+        )
+        self.at(ends, self._ended, flight, replica, ready.cached_tokens)
+
+    def _ended(self, flight, replica, cached_tokens: int) -> None:
+        router = flight.router
+        router.policy.answered(flight.decision, cached_tokens, self.now)
+        view = router.view.views[replica.name]
+        view.load.served(self.now - flight.decision.at)
+        if router.exports is None or not replica.up:
+            return
+        chain = flight.request.chain
+        picked = router.exports.pick(chain, view.horizon.seconds, self.now)
+        held = tuple(item for item in picked if item in replica.model.cache)
+        if held and self._store_up():
+            self._kept.use(held)
+
+    def _fail(self, flight: _Flight, name: str) -> None:
+        flight.router.view.failed(name, at_once=True)
+        flight.excluded = flight.excluded | {name}
+        self._decide(flight)
+
+    def _crash(self) -> None:
+        replica = self._rng.choice(sorted(self.replicas.values(), key=_name))
+        if replica.up:
+            replica.up = False
+            lost = replica.model.crash()
+            for name in lost:
+                flight = self._flights.get(name)
+                if flight is not None:
+                    self.at(self.now + 0.001, self._fail, flight, replica.name)
+            self.at(self.now + CRASH_LASTS_S, self._restart, replica)
+        if self.now < self._seconds:
+            self.at(self.now + CRASH_EVERY_S, self._crash)
+
+    def _restart(self, replica: _Replica) -> None:
+        replica.model = engine_model.EngineModel(replica.speed)
+        replica.incarnation += 1
+        replica.up = True
+        replica.scheduled = None
+
+    def _done(self, flight, first, cached, wasted) -> None:
+        request = flight.request
+        if self._flights.pop(request.name, None) is None:
+            return
+        if request.at >= self._warm_up_s:
+            self.served.append(
+                Served(
+                    request.shape,
+                    request.at,
+                    first,
+                    request.chain.total_tokens,
+                    cached,
+                    wasted,
+                )
+            )
+
+    def busy(self) -> float:
+        """Returns the share of time in which replicas prefilled."""
+        spent = sum(item.model.busy_s for item in self.replicas.values())
+        return spent / (self._seconds * len(self.replicas))
+
+
+def _name(replica: _Replica) -> str:
+    return replica.name
--- a/bergamotmill/routing/const.py
+++ b/bergamotmill/routing/const.py
@@ -12,8 +12,14 @@
 HORIZON_MIN_S = 1.0
 HORIZON_MAX_S = 3600.0
 HORIZON_STEP = 0.2
+# Younger entries may be presumed only; their absence teaches nothing.
+SETTLED_AGE_S = 1.0
 # Trust in an entry that an event gap has made doubtful.
 DOUBT = 0.5
+# Cache events that came this lately are taken as complete.
+EVENTS_FRESH_S = 3.0
+EVENTS_TRUST = 0.98
+LEAST_IGNORANCE = 0.02
 
 POPULARITY_WINDOW_S = 10.0
 # A prefix widens when it takes more than this part of a home's prefill.
@@ -21,6 +27,9 @@
 MAX_WIDTH = 16
 
 TIE_S = 0.02
+# The price of wasted work grows with the mean wait.
+PRESSURE_PER_S = 4.0
+PRESSURE_MAX = 10.0
 REQUEST_OVERHEAD_S = 0.005
 LOAD_SMOOTHING = 0.3
 REPORT_STALE_S = 3.0
--- a/bergamotmill/routing/decision.py
+++ b/bergamotmill/routing/decision.py
@@ -7,7 +7,7 @@
 router computes alike without talking.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 import random
 from typing import Protocol
 
@@ -20,6 +20,10 @@
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.util import registry
 
+UNKNOWN_AGE = -1.0
+# Candidates that hold so much of what the best holds may tie with it.
+SAME_CACHED = 0.98
+
 Answer = result.Result[messages.Decision, messages.NoReplica]
 
 
@@ -29,6 +33,9 @@
     def decide(self, ask: messages.Ask, now: float) -> Answer:
         """Chooses a replica."""
 
+    def sent(self, decision: messages.Decision, now: float) -> None:
+        """Takes note that a request goes where it was decided."""
+
     def answered(
         self, decision: messages.Decision, cached_tokens: int, now: float
     ) -> None:
@@ -99,12 +106,36 @@
             return result.Err(messages.NoReplica("all were tried", 1.0))
         scored = self._score_all(ask, eligible.views, known, names, now)
         choice = self._choose(ask, scored, eligible.views, now)
-        for digest in ask.chain.digests:
-            self._popularity.touch(digest, now)
-        decision = messages.Decision(ask, choice, tuple(scored), now)
+        decision = messages.Decision(
+            ask, choice, tuple(scored), now, self._ages(ask, choice, now)
+        )
         self._check(decision, known)
         return result.Ok(decision)
 
+    def _ages(
+        self, ask: messages.Ask, choice: messages.Candidate, now: float
+    ) -> tuple[float, ...]:
+        stamps = (
+            self._view.locations.stamp(digest, choice.replica)
+            for digest in ask.chain.digests
+        )
+        return tuple(
+            UNKNOWN_AGE if stamp is None else now - stamp for stamp in stamps
+        )
+
+    def sent(self, decision: messages.Decision, now: float) -> None:
+        """Presumes that the choice will hold the prompt.
+
+        Requests that share the prompt and follow before the answer comes
+        then go the same way.
+        """
+        ask = decision.ask
+        for digest in ask.chain.digests:
+            self._popularity.touch(digest, now)
+            self._view.locations.learn(
+                ask.customer, digest, decision.choice.replica, now
+            )
+
     def _known(
         self, ask: messages.Ask, eligible: fleet_view.Eligible, now: float
     ) -> _Known:
@@ -121,7 +152,8 @@
                     known.offer(name, chance * tokens, level)
             prior = self._prior(level - 1)
             for name in self._homes(digest, ask, eligible, now):
-                known.offer(name, prior * tokens, 0)
+                chance = prior * views[name].ignorance(now)
+                known.offer(name, chance * tokens, 0)
         return known
 
     def _homes(self, digest, ask, eligible, now) -> list[str]:
@@ -176,16 +208,21 @@
         best_cached = max(best_cached, float(ask.kept_tokens))
         worth = ask.worth / self._mean_worth
         latency = self._weights.latency * worth
-        waste = self._weights.waste
+        waits = {
+            name: views[name].load.wait(ask.priority, now) for name in names
+        }
+        waste = self._weights.waste * pressure(
+            waits.values(), const.PRESSURE_PER_S
+        )
         scored = []
         for name in names:
             view = views[name]
             rate = view.replica.prefill_tokens_per_s
             cached = expected.get(name, 0.0)
-            prefill, imports = _prefill_seconds(ask, cached, rate)
+            prefill, imports = prefill_seconds(ask, cached, rate)
             reachable = max(cached, ask.kept_tokens if imports else 0)
             lost = max(0.0, best_cached - reachable) / rate
-            wait = view.load.wait(ask.priority, now)
+            wait = waits[name]
             penalty = view.health.penalty(now)
             latency_s = wait + prefill + view.distance_s + penalty
             scored.append(
@@ -216,12 +253,19 @@
     ) -> messages.Candidate:
         best = scored[0]
         slack = const.TIE_S + views[best.replica].load.uncertainty(now)
-        ties = [item for item in scored if item.score <= best.score + slack]
+        cached = best.cached_tokens * SAME_CACHED
+        ties = [
+            item
+            for item in scored
+            if item.score <= best.score + slack and item.cached_tokens >= cached
+        ]
         if len(ties) == 1:
             return best
-        seed = ask.chain.digests[-1] if ask.chain.digests else 0
-        if not seed:
+        if not ask.chain.digests:
             return self._rng.choice(ties)
+        # All that share what is cached tie alike, so that copies of it on
+        # other replicas are not kept alive.
+        seed = ask.chain.digests[max(0, best.known_level - 1)]
         return max(
             ties,
             key=lambda item: xxhash.xxh3_64_intdigest(
@@ -257,14 +301,14 @@
         ).ring
         for index, digest in enumerate(chain.digests):
             there = chain.tokens[index] <= cached_tokens
-            stamp = locations.stamp(digest, choice.replica)
-            if stamp is None:
+            age = decision.ages[index]
+            if age == UNKNOWN_AGE:
                 if choice.replica in ring.find(digest, 1):
                     self._learn_prior(index, there)
             elif there:
-                view.horizon.found(now - stamp)
-            else:
-                view.horizon.gone(now - stamp)
+                view.horizon.found(age)
+            elif age > const.SETTLED_AGE_S:
+                view.horizon.gone(age)
             locations.learn(ask.customer, digest, choice.replica, now)
 
     def _learn_prior(self, index: int, there: bool) -> None:
@@ -273,9 +317,21 @@
         self._priors[index] = prior + step * ((1.0 if there else 0.0) - prior)
 
 
-def _prefill_seconds(
+def pressure(waits: Collection[float], per_second: float) -> float:
+    """Returns the factor by which queues raise the price of wasted work.
+
+    Work that is done twice delays all that comes after it, and the more so
+    the fuller the replicas are; without this a fleet near its limit loses
+    cache hits, which fills it further.
+    """
+    mean = sum(waits) / len(waits)
+    return min(const.PRESSURE_MAX, 1.0 + per_second * mean)
+
+
+def prefill_seconds(
     ask: messages.Ask, cached: float, rate: float
 ) -> tuple[float, bool]:
+    """Returns the seconds of prefill, and whether importing is quicker."""
     uncached = max(0.0, ask.chain.total_tokens - cached)
     plain = const.REQUEST_OVERHEAD_S + uncached / rate
     if ask.kept_tokens <= cached or ask.kept_rate <= 0:
--- a/bergamotmill/routing/messages.py
+++ b/bergamotmill/routing/messages.py
@@ -54,12 +54,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decision:
-    """The chosen candidate among those considered."""
+    """The chosen candidate among those considered.
+
+    Attributes:
+        ages: for each level of the prompt, how many seconds ago the choice
+            was learned to hold it; negative when it was not known to.
+    """
 
     ask: Ask
     choice: Candidate
     candidates: tuple[Candidate, ...]
     at: float
+    ages: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bergamotmill/routing/view.py
+++ b/bergamotmill/routing/view.py
@@ -20,6 +20,8 @@
     __slots__ = (
         "distance_s",
         "doubtful_before",
+        "events_at",
+        "followed_since",
         "event_sequence",
         "health",
         "horizon",
@@ -37,13 +39,31 @@
         self.incarnation = 0
         self.event_sequence = 0
         self.doubtful_before = 0.0
+        self.events_at = -const.EVENTS_FRESH_S
+        self.followed_since = float("inf")
 
     def survival(self, stamp: float, now: float) -> float:
-        """Returns the chance that an entry of this stamp still holds."""
-        chance = self.horizon.survival(now - stamp)
+        """Returns the chance that an entry of this stamp still holds.
+
+        While cache events come without a gap, an eviction would have been
+        heard of. Otherwise the entry's age decides.
+        """
         if stamp < self.doubtful_before:
-            return chance * const.DOUBT
-        return chance
+            return const.DOUBT * self.horizon.survival(now - stamp)
+        if now - self.events_at < const.EVENTS_FRESH_S:
+            return const.EVENTS_TRUST
+        return self.horizon.survival(now - stamp)
+
+    def ignorance(self, now: float) -> float:
+        """Returns how much of the replica's cache may be unknown, 0 to 1.
+
+        After following its events for as long as it keeps prefixes, all it
+        holds is known.
+        """
+        if now - self.events_at >= const.EVENTS_FRESH_S:
+            return 1.0
+        followed = max(0.0, now - self.followed_since)
+        return max(const.LEAST_IGNORANCE, 1.0 - followed / self.horizon.seconds)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,15 +169,23 @@
         if view is None or incarnation != view.incarnation:
             return
         now = self._now()
+        polled_before = view.events_at
         if events and events[0].sequence > after + 1 and after > 0:
             view.doubtful_before = now
+            view.followed_since = now
+        if now - view.events_at >= const.EVENTS_FRESH_S:
+            view.followed_since = now
+        view.events_at = now
         for event in events:
             if event.sequence <= view.event_sequence:
                 continue
             view.event_sequence = event.sequence
             if event.stored:
                 self.locations.learn("", event.digest, name, now)
-            else:
+                continue
+            # What was learned since the last poll may be newer than this.
+            stamp = self.locations.stamp(event.digest, name)
+            if stamp is not None and stamp <= polled_before:
                 self.locations.forget(event.digest, name)
 
     def failed(self, name: str, at_once: bool) -> None:
--- a/bergamotmill/standin/engine_model.py
+++ b/bergamotmill/standin/engine_model.py
@@ -4,9 +4,10 @@
 with explicit times.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 import dataclasses
 import heapq
+import itertools
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,11 +31,15 @@
 
 
 class PieceCache:
-    """Cached prompt pieces, the least recently used out first."""
+    """Cached prompt pieces, the least recently used out first.
+
+    Pieces of running requests are pinned and stay.
+    """
 
     def __init__(self, capacity: int):
         self._capacity = capacity
         self._pieces: dict[int, None] = {}
+        self._pins: dict[int, int] = {}
         self._sequence = 0
         self.events: list[tuple[int, int, int]] = []
 
@@ -66,10 +71,29 @@
             else:
                 self._note(1, digest)
             self._pieces[digest] = None
-        while len(self._pieces) > self._capacity:
-            oldest = next(iter(self._pieces))
-            del self._pieces[oldest]
-            self._note(0, oldest)
+        self._evict()
+
+    def _evict(self) -> None:
+        over = len(self._pieces) - self._capacity
+        if over <= 0:
+            return
+        free = (item for item in self._pieces if item not in self._pins)
+        for digest in list(itertools.islice(free, over)):
+            del self._pieces[digest]
+            self._note(0, digest)
+
+    def pin(self, chain: tuple[int, ...]) -> None:
+        """Keeps pieces while a request runs."""
+        for digest in chain:
+            self._pins[digest] = self._pins.get(digest, 0) + 1
+
+    def unpin(self, chain: tuple[int, ...]) -> None:
+        """Gives pieces free, as the most recently used."""
+        for digest in chain:
+            self._pins[digest] -= 1
+            if not self._pins[digest]:
+                del self._pins[digest]
+        self.use(chain)
 
     def clear(self) -> None:
         """Empties the cache without events, as a crash does."""
@@ -114,7 +138,7 @@
         self._queue: list[tuple[int, int, Job]] = []
         self._sequence = 0
         self._current: Prefilled | None = None
-        self._running: list[tuple[float, str]] = []
+        self._running: list[tuple[float, str, Job]] = []
         self.accepted_tokens = 0.0
         self.busy_s = 0.0
 
@@ -128,6 +152,13 @@
         """Requests that wait for prefill."""
         return len(self._queue)
 
+    def pending(self) -> Iterator[Job]:
+        """Gives the requests whose prefill is not done."""
+        if self._current is not None:
+            yield self._current.job
+        for _, _, job in self._queue:
+            yield job
+
     def queued_tokens(self, now: float) -> dict[int, float]:
         """Returns uncached tokens that wait for prefill, by priority."""
         queued: dict[int, float] = {}
@@ -155,7 +186,9 @@
         """Takes a request out."""
         self._queue = [item for item in self._queue if item[2].name != name]
         heapq.heapify(self._queue)
-        self._running = [item for item in self._running if item[1] != name]
+        for item in [item for item in self._running if item[1] == name]:
+            self._running.remove(item)
+            self.cache.unpin(item[2].chain)
         heapq.heapify(self._running)
 
     def next_time(self, now: float) -> float | None:
@@ -173,17 +206,19 @@
         ready: list[Prefilled] = []
         while True:
             while self._running and self._running[0][0] <= now:
-                heapq.heappop(self._running)
+                self.cache.unpin(heapq.heappop(self._running)[2].chain)
             current = self._current
             if current is not None:
                 if current.at > now:
                     return ready
                 self._current = None
+                self.cache.pin(current.job.chain)
                 self.cache.use(current.job.chain)
                 ends = current.at + (
                     current.job.output_tokens * self._speed.token_s
                 )
-                heapq.heappush(self._running, (ends, current.job.name))
+                job = current.job
+                heapq.heappush(self._running, (ends, job.name, job))
                 ready.append(current)
             full = len(self._running) >= self._speed.slots
             if not self._queue or full:
@@ -210,7 +245,7 @@
     def crash(self) -> list[str]:
         """Loses everything; returns the names of lost requests."""
         lost = [item[2].name for item in self._queue]
-        lost += [name for _, name in self._running]
+        lost += [name for _, name, _ in self._running]
         if self._current is not None:
             lost.append(self._current.job.name)
         self._queue.clear()
--- a/bergamotmill/streams/context.py
+++ b/bergamotmill/streams/context.py
@@ -144,6 +144,7 @@
         if view is None:
             return
         chain = decision.ask.chain
+        self._policy.sent(decision, self.now())
         tokens = max(0.0, chain.total_tokens - decision.choice.cached_tokens)
         view.load.sent(tokens, decision.ask.priority, self.now())
 
--- a/bergamotmill/upstream/engine/coordinator.py
+++ b/bergamotmill/upstream/engine/coordinator.py
@@ -112,10 +112,9 @@
                 incarnation = found
                 after = 0
                 continue
-            if not events:
-                continue
             self._listener.on_cache_events(name, found, events, after)
-            after = events[-1].sequence
+            if events:
+                after = events[-1].sequence
 
     async def _pause(self, seconds: float) -> None:
         await asyncio.sleep(seconds * self._rng.uniform(0.8, 1.2))
