--- a/bergamotmill/bench/oracle.py
+++ b/bergamotmill/bench/oracle.py
@@ -9,10 +9,6 @@
 from bergamotmill.routing import messages
 from bergamotmill.routing import view as fleet_view
 
-# With sight of all, less pressure does best; the product's own would make
-# a weaker oracle.
-PRESSURE_PER_S = 0.5
-
 
 @routing_decision.POLICIES.register("oracle")
 class OraclePolicy:
@@ -52,7 +48,7 @@
         worth = ask.worth / self._mean_worth
         waits = {item.name: _wait(item, ask.priority, now) for item in up}
         waste = self._weights.waste * routing_decision.pressure(
-            waits.values(), PRESSURE_PER_S
+            waits.values(), self._simulation.workload.oracle_pressure
         )
         for item in up:
             cached = depths[item.name] * workloads.PIECE_TOKENS
--- a/bergamotmill/bench/simulation.py
+++ b/bergamotmill/bench/simulation.py
@@ -18,13 +18,13 @@
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.standin import engine_model
 from bergamotmill.upstream.engine import config
+from bergamotmill.upstream.engine import coordinator as engines
 from bergamotmill.util import rendezvous
 
 ROUTERS = 7
 MODEL = "drafter"
 VERSION = "v1"
 ADDRESS_LIFETIME_S = 10.0
-REPORT_PERIOD_S = 0.5
 EVENT_PERIOD_S = 1.0
 EVENTS_PER_POLL = 256
 CRASH_EVERY_S = 20.0
@@ -162,6 +162,7 @@
             )
             for index in range(workload.replicas)
         }
+        self._report_period = engines.report_period(workload.replicas)
         self._kept = engine_model.PieceCache(KEPT_PIECES)
         self.routers = [
             _Router(self, index, policy) for index in range(ROUTERS)
@@ -188,7 +189,7 @@
             self.at(request.at, self._arrive, request)
         for router in self.routers:
             for replica in self.replicas.values():
-                pause = self._rng.uniform(0.0, REPORT_PERIOD_S)
+                pause = self._rng.uniform(0.0, self._report_period)
                 router.view.on_report(replica.name, replica.report(0.0))
                 self.at(pause, self._poll_report, router, replica)
                 pause = self._rng.uniform(0.0, EVENT_PERIOD_S)
@@ -217,7 +218,7 @@
         else:
             router.view.on_report_missing(replica.name)
         if self.now < self._seconds:
-            pause = REPORT_PERIOD_S * self._rng.uniform(0.8, 1.2)
+            pause = self._report_period * self._rng.uniform(0.8, 1.2)
             self.at(self.now + pause, self._poll_report, router, replica)
 
     def _poll_events(
--- a/bergamotmill/bench/workload.py
+++ b/bergamotmill/bench/workload.py
@@ -46,7 +46,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Workload:
-    """A deployment: its sizes and its classes."""
+    """A deployment: its sizes and its classes.
+
+    Attributes:
+        oracle_pressure: the pressure with which the oracle does best here,
+            so that it is compared with at its strongest.
+    """
 
     name: str
     data_centres: int
@@ -57,6 +62,7 @@
     waste_weight: float
     near_s: float
     far_s: float
+    oracle_pressure: float
     speed: engine_model.Speed
     classes: tuple[ClassShape, ...]
 
@@ -71,6 +77,7 @@
     waste_weight=0.3,
     near_s=0.0005,
     far_s=0.001,
+    oracle_pressure=4.0,
     speed=engine_model.Speed(slots=48, cache_pieces=64),
     classes=(
         ClassShape("review", 1, 3.0, 2.0, 6.65, (2, 3, 6), 8, 3.0, 2400, 240),
@@ -88,6 +95,7 @@
     waste_weight=1.0,
     near_s=0.0005,
     far_s=0.0015,
+    oracle_pressure=0.0,
     speed=engine_model.Speed(slots=64, cache_pieces=64),
     classes=(
         ClassShape(
--- a/bergamotmill/routing/const.py
+++ b/bergamotmill/routing/const.py
@@ -26,7 +26,7 @@
 HOME_FILL = 0.5
 MAX_WIDTH = 16
 
-TIE_S = 0.02
+TIE_S = 0.05
 # The price of wasted work grows with the mean wait.
 PRESSURE_PER_S = 4.0
 PRESSURE_MAX = 10.0
--- a/bergamotmill/upstream/engine/const.py
+++ b/bergamotmill/upstream/engine/const.py
@@ -20,7 +20,9 @@
 # Written by the engine as the last comment when another reader took over.
 MOVED_COMMENT = b": moved"
 
-REPORT_PERIOD_S = 0.5
+# Reports a router reads from all engines together.
+REPORTS_PER_S = 45.0
+REPORT_PERIOD_MIN_S = 0.15
 REPORT_TIMEOUT_S = 2.0
 EVENTS_PERIOD_S = 1.0
 EVENTS_MAX = 256
--- a/bergamotmill/upstream/engine/coordinator.py
+++ b/bergamotmill/upstream/engine/coordinator.py
@@ -96,7 +96,7 @@
                 self._listener.on_report(name, answer.ok())
             else:
                 self._listener.on_report_missing(name)
-            await self._pause(const.REPORT_PERIOD_S)
+            await self._pause(report_period(len(self._links)))
 
     async def _read_events(self, name: str) -> None:
         link = self._links[name]
@@ -120,5 +120,14 @@
         await asyncio.sleep(seconds * self._rng.uniform(0.8, 1.2))
 
 
+def report_period(replicas: int) -> float:
+    """Returns how often each engine's report is read, in seconds.
+
+    The cost for a router is bounded; where there are many engines, the
+    reports that come with answers carry most of the news.
+    """
+    return max(const.REPORT_PERIOD_MIN_S, replicas / const.REPORTS_PER_S)
+
+
 def _make_link(replica: core.Replica) -> engine_link.EngineLink:
     return drivers.ENGINES.get(replica.driver)(replica)
