--- a/bergamotmill/bench/policy.py
+++ b/bergamotmill/bench/policy.py
@@ -44,6 +44,11 @@
         default=2,
         help="routers that a customer's callers are told to use",
     )
+    parser.add_argument(
+        "--no-notices",
+        action="store_true",
+        help="routers do not tell one another what they send",
+    )
     parser.add_argument("--policies", default=",".join(POLICIES))
     parser.add_argument(
         "--set",
@@ -90,6 +95,7 @@
                 arguments.load,
                 arguments.warm_up,
                 arguments.spread,
+                not arguments.no_notices,
             )
             values = figures.of_run(run_of.run())
             values["busy"] = run_of.busy()
--- a/bergamotmill/bench/simulation.py
+++ b/bergamotmill/bench/simulation.py
@@ -15,6 +15,7 @@
 from bergamotmill.routing import decision as routing_decision
 from bergamotmill.routing import kept as kept_export
 from bergamotmill.routing import messages
+from bergamotmill.routing import notices
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.standin import engine_model
 from bergamotmill.upstream.engine import config
@@ -142,6 +143,7 @@
         load: float,
         warm_up_s: float,
         spread: int,
+        notices_on: bool = True,
     ):
         self.workload = workload
         self.seed = seed
@@ -151,6 +153,7 @@
         self._load = load
         self._warm_up_s = warm_up_s
         self._spread = spread
+        self._notices = notices_on
         self._rng = random.Random(f"{seed}/network")
         self._events: list[tuple[float, int, Any, tuple]] = []
         self._sequence = itertools.count()
@@ -317,8 +320,25 @@
             decision.ask.chain.total_tokens - decision.choice.cached_tokens,
         )
         view.load.sent(tokens, decision.ask.priority, self.now)
+        if self._notices and flight.router.exports is not None:
+            self._tell(flight.router, decision, tokens)
         self.at(self.now + view.distance_s, self._receive, flight, replica)
 
+    def _tell(self, sender, decision, tokens: float) -> None:
+        delay = notices.PERIOD_S * self._rng.random() + self.workload.far_s
+        for router in self.routers:
+            if router is not sender:
+                self.at(
+                    self.now + delay,
+                    router.view.on_notice,
+                    decision.choice.replica,
+                    decision.choice.incarnation,
+                    decision.ask.customer,
+                    decision.ask.chain.digests,
+                    tokens,
+                    decision.ask.priority,
+                )
+
     def _receive(self, flight: _Flight, replica: _Replica) -> None:
         if not replica.up:
             self._fail(flight, replica.name)
--- a/bergamotmill/control/peers.py
+++ b/bergamotmill/control/peers.py
@@ -14,7 +14,16 @@
 Handler = Callable[[Any], Awaitable[Any]]
 Resolver = Callable[[str], str]
 
-METHODS = ("Ping", "Push", "Pull", "File", "Tail", "Borrow", "Status")
+METHODS = (
+    "Ping",
+    "Push",
+    "Pull",
+    "File",
+    "Tail",
+    "Borrow",
+    "Notify",
+    "Status",
+)
 METADATA_KEY = "x-fleet-key"
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 KEEP_ALIVE_MS = 2000
--- a/bergamotmill/routing/const.py
+++ b/bergamotmill/routing/const.py
@@ -14,12 +14,12 @@
 HORIZON_STEP = 0.2
 # Younger entries may be presumed only; their absence teaches nothing.
 SETTLED_AGE_S = 1.0
-# Trust in an entry that an event gap has made doubtful.
-DOUBT = 0.5
-# Cache events that came this lately are taken as complete.
+# Without a batch of cache events for so long, none are relied on.
 EVENTS_FRESH_S = 3.0
-EVENTS_TRUST = 0.98
-LEAST_IGNORANCE = 0.02
+# Engines may publish events so late.
+EVENT_LATE_S = 2.0
+LOSS_SMOOTHING = 0.1
+LEAST_LOSS = 0.02
 
 POPULARITY_WINDOW_S = 10.0
 # A prefix widens when it takes more than this part of a home's prefill.
--- a/bergamotmill/routing/load.py
+++ b/bergamotmill/routing/load.py
@@ -9,10 +9,10 @@
 class ReplicaLoad:
     """An estimate of one replica's queue.
 
-    A report is old when it arrives. Added to it are the tokens this router
-    sent since, and the share of the other routers, whose rate follows from
-    the replica's counter of accepted tokens; taken off is what the replica
-    has worked through meanwhile.
+    A report is old when it arrives. Added to it are the tokens that were
+    sent since, as far as this router sent them or was told of them, and the
+    share of other routers, whose rate follows from the replica's counter of
+    accepted tokens; taken off is what the replica has worked through.
     """
 
     def __init__(self):
@@ -32,7 +32,7 @@
 
     @property
     def others_rate(self) -> float:
-        """Tokens a second that other routers send."""
+        """Tokens a second that come without this router's knowledge."""
         return self._others_rate
 
     def on_report(self, report: config.LoadReport) -> None:
@@ -58,7 +58,7 @@
         self._others_rate += const.LOAD_SMOOTHING * (rate - self._others_rate)
 
     def sent(self, tokens: float, priority: int, now: float) -> None:
-        """Notes tokens that this router has just sent."""
+        """Notes tokens that this router, or one that told it, has sent."""
         self._sent.append((now, priority, tokens))
         self._sent_total += tokens
 
@@ -71,19 +71,24 @@
         report = self._report
         if report is None:
             return 0.0
-        age = now - report.as_of
         rate = report.prefill_tokens_per_s
-        tokens = self._others_rate * age
-        for level, queued in report.queued_tokens.items():
-            if level >= priority:
-                tokens += queued
-        requests = 0
-        for _, level, sent in self._sent:
-            requests += 1
+        tokens = sum(
+            queued
+            for level, queued in report.queued_tokens.items()
+            if level >= priority
+        )
+        # Work is taken off as time passes, but never in advance: an idle
+        # replica saves nothing up.
+        net = self._others_rate - rate
+        at = report.as_of
+        for sent_at, level, sent in self._sent:
+            if sent_at > at:
+                tokens = max(0.0, tokens + net * (sent_at - at))
+                at = sent_at
             if level >= priority:
                 tokens += sent
-        backlog = max(0.0, tokens - rate * age) / rate
-        return backlog + self._slot_wait(report, requests)
+        tokens = max(0.0, tokens + net * max(0.0, now - at))
+        return tokens / rate + self._slot_wait(report, len(self._sent))
 
     def _slot_wait(self, report: config.LoadReport, sent: int) -> float:
         over = report.running + sent - report.slots
--- a/bergamotmill/routing/view.py
+++ b/bergamotmill/routing/view.py
@@ -1,6 +1,6 @@
 """One router's view of all replicas."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 import dataclasses
 
 import loguru
@@ -19,7 +19,7 @@
 
     __slots__ = (
         "distance_s",
-        "doubtful_before",
+        "_loss",
         "events_at",
         "followed_since",
         "event_sequence",
@@ -38,32 +38,44 @@
         self.horizon = prefix_locations.Horizon()
         self.incarnation = 0
         self.event_sequence = 0
-        self.doubtful_before = 0.0
+        self._loss = 0.0
         self.events_at = -const.EVENTS_FRESH_S
         self.followed_since = float("inf")
 
+    def event_loss(self, now: float) -> float:
+        """Returns the share of cache events that are missed, 0 to 1."""
+        if now - self.events_at >= const.EVENTS_FRESH_S:
+            return 1.0
+        return self._loss
+
+    def events_polled(self, seen: int, missed: int, now: float) -> None:
+        """Takes note of a batch of cache events."""
+        if now - self.events_at >= const.EVENTS_FRESH_S:
+            self.followed_since = now
+        self.events_at = now
+        if seen + missed:
+            share = missed / (seen + missed)
+            self._loss += const.LOSS_SMOOTHING * (share - self._loss)
+
     def survival(self, stamp: float, now: float) -> float:
         """Returns the chance that an entry of this stamp still holds.
 
-        While cache events come without a gap, an eviction would have been
-        heard of. Otherwise the entry's age decides.
+        Age alone gives a chance; that no eviction was heard of raises it,
+        and the more so the fewer events are missed.
         """
-        if stamp < self.doubtful_before:
-            return const.DOUBT * self.horizon.survival(now - stamp)
-        if now - self.events_at < const.EVENTS_FRESH_S:
-            return const.EVENTS_TRUST
-        return self.horizon.survival(now - stamp)
+        by_age = self.horizon.survival(now - stamp)
+        unheard = (1.0 - by_age) * max(const.LEAST_LOSS, self.event_loss(now))
+        return by_age / (by_age + unheard)
 
     def ignorance(self, now: float) -> float:
         """Returns how much of the replica's cache may be unknown, 0 to 1.
 
         After following its events for as long as it keeps prefixes, all it
-        holds is known.
+        holds is known, but for what events were missed.
         """
-        if now - self.events_at >= const.EVENTS_FRESH_S:
-            return 1.0
         followed = max(0.0, now - self.followed_since)
-        return max(const.LEAST_IGNORANCE, 1.0 - followed / self.horizon.seconds)
+        unseen = 1.0 - followed / self.horizon.seconds
+        return max(const.LEAST_LOSS, self.event_loss(now), unseen)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,32 +174,47 @@
     ) -> None:
         """Takes cache events of the present incarnation.
 
-        After a gap evictions may have been missed, so what was learned
-        before is doubtful until an answer confirms it.
+        Gaps in the sequence tell how many were missed. An eviction may be
+        older than what was learned lately, which then stands.
         """
         view = self._views.get(name)
         if view is None or incarnation != view.incarnation:
             return
         now = self._now()
-        polled_before = view.events_at
-        if events and events[0].sequence > after + 1 and after > 0:
-            view.doubtful_before = now
-            view.followed_since = now
-        if now - view.events_at >= const.EVENTS_FRESH_S:
-            view.followed_since = now
-        view.events_at = now
-        for event in events:
-            if event.sequence <= view.event_sequence:
-                continue
+        settled = view.events_at - const.EVENT_LATE_S
+        fresh = [e for e in events if e.sequence > view.event_sequence]
+        missed = 0
+        if fresh and after > 0:
+            missed = fresh[-1].sequence - after - len(fresh)
+        view.events_polled(len(fresh), max(0, missed), now)
+        for event in fresh:
             view.event_sequence = event.sequence
             if event.stored:
                 self.locations.learn("", event.digest, name, now)
                 continue
-            # What was learned since the last poll may be newer than this.
             stamp = self.locations.stamp(event.digest, name)
-            if stamp is not None and stamp <= polled_before:
+            if stamp is not None and stamp <= settled:
+                view.horizon.gone(now - stamp)
                 self.locations.forget(event.digest, name)
 
+    def on_notice(
+        self,
+        name: str,
+        incarnation: int,
+        customer: str,
+        digests: Iterable[int],
+        tokens: float,
+        priority: int,
+    ) -> None:
+        """Takes note of what another router has just sent to a replica."""
+        view = self._views.get(name)
+        if view is None or view.incarnation != incarnation:
+            return
+        now = self._now()
+        view.load.sent(tokens, priority, now)
+        for digest in digests:
+            self.locations.learn(customer, digest, name, now)
+
     def failed(self, name: str, at_once: bool) -> None:
         """Takes note of a failed request."""
         view = self._views.get(name)
