Measure unknown senders over the report's own interval

Cause: own sends were counted up to the receipt of a report, the engine's counter up to its making; under lag the difference, cut off at zero, became a large rate of senders that do not exist. Change: sends are matched to the interval between two reports by their time and the rate is averaged over 5 s before it is cut off at zero.

--- a/bergamotmill/routing/const.py
+++ b/bergamotmill/routing/const.py
@@ -31,7 +31,8 @@
 PRESSURE_PER_S = 4.0
 PRESSURE_MAX = 10.0
 REQUEST_OVERHEAD_S = 0.005
-LOAD_SMOOTHING = 0.3
+# Over so long the rate of unknown senders is averaged.
+OTHERS_WINDOW_S = 5.0
 REPORT_STALE_S = 3.0
 
 EJECT_AFTER_FAILURES = 2
--- a/bergamotmill/routing/load.py
+++ b/bergamotmill/routing/load.py
@@ -1,6 +1,7 @@
 """What waits at each replica, corrected for the lag of its reports."""
 
 import collections
+import math
 
 from bergamotmill.routing import const
 from bergamotmill.upstream.engine import config
@@ -20,8 +21,6 @@
         self._sent: collections.deque[tuple[float, int, float]] = (
             collections.deque()
         )
-        self._sent_total = 0.0
-        self._sent_at_report = 0.0
         self._others_rate = 0.0
         self._service_s = 5.0
 
@@ -33,7 +32,7 @@
     @property
     def others_rate(self) -> float:
         """Tokens a second that come without this router's knowledge."""
-        return self._others_rate
+        return max(0.0, self._others_rate)
 
     def on_report(self, report: config.LoadReport) -> None:
         """Takes a newer report."""
@@ -41,26 +40,31 @@
         if old is not None and old.incarnation == report.incarnation:
             if report.as_of <= old.as_of:
                 return
-            self._learn_others(old, report)
+            known = self._take_until(report.as_of)
+            self._learn_others(old, report, known)
         else:
+            self._take_until(report.as_of)
             self._others_rate = 0.0
         self._report = report
-        self._sent_at_report = self._sent_total
-        while self._sent and self._sent[0][0] <= report.as_of:
-            self._sent.popleft()
+
+    def _take_until(self, as_of: float) -> float:
+        """Drops what the report already shows; returns its tokens."""
+        tokens = 0.0
+        while self._sent and self._sent[0][0] <= as_of:
+            tokens += self._sent.popleft()[2]
+        return tokens
 
     def _learn_others(
-        self, old: config.LoadReport, new: config.LoadReport
+        self, old: config.LoadReport, new: config.LoadReport, known: float
     ) -> None:
-        accepted = new.accepted_tokens - old.accepted_tokens
-        own = self._sent_total - self._sent_at_report
-        rate = max(0.0, accepted - own) / (new.as_of - old.as_of)
-        self._others_rate += const.LOAD_SMOOTHING * (rate - self._others_rate)
+        seconds = new.as_of - old.as_of
+        rate = (new.accepted_tokens - old.accepted_tokens - known) / seconds
+        weight = 1.0 - math.exp(-seconds / const.OTHERS_WINDOW_S)
+        self._others_rate += weight * (rate - self._others_rate)
 
     def sent(self, tokens: float, priority: int, now: float) -> None:
         """Notes tokens that this router, or one that told it, has sent."""
         self._sent.append((now, priority, tokens))
-        self._sent_total += tokens
 
     def served(self, seconds: float) -> None:
         """Notes how long a whole answer took."""
@@ -79,7 +83,7 @@
         )
         # Work is taken off as time passes, but never in advance: an idle
         # replica saves nothing up.
-        net = self._others_rate - rate
+        net = self.others_rate - rate
         at = report.as_of
         for sent_at, level, sent in self._sent:
             if sent_at > at:
@@ -102,4 +106,4 @@
         if report is None:
             return 0.1
         age = min(now - report.as_of, const.REPORT_STALE_S)
-        return age * self._others_rate / report.prefill_tokens_per_s
+        return age * self.others_rate / report.prefill_tokens_per_s
