--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -6,9 +6,10 @@
 
 import loguru
 
+from bergamotmill.bench import decision
 from bergamotmill.bench import policy
 
-COMMANDS = {"policy": policy}
+COMMANDS = {"policy": policy, "decision": decision}
 
 
 def main() -> int:
--- /dev/null
+++ b/bergamotmill/bench/decision.py
@@ -0,0 +1,105 @@
+"""`bench decision`: the time one decision takes."""
+
+import argparse
+import random
+import statistics
+import time
+from typing import Any
+
+from bergamotmill import core
+from bergamotmill.routing import chain as prefix_chain
+from bergamotmill.routing import decision as routing_decision
+from bergamotmill.routing import messages
+from bergamotmill.routing import view as fleet_view
+from bergamotmill.upstream.engine import config
+
+TARGET_US = 200.0
+LEVELS = 8
+MODEL = "drafter"
+VERSION = "v1"
+SIZES = ((9, 10_000), (60, 10_000), (526, 10_000), (526, 200_000))
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the command's options."""
+    parser.add_argument("--decisions", type=int, default=3000)
+    parser.add_argument("--seed", type=int, default=1)
+
+
+def _fleet(replicas: int, known: int, rng: random.Random):
+    view = fleet_view.FleetView(lambda: 0.0)
+    names = [f"replica-{index}" for index in range(replicas)]
+    view.adopt(
+        {name: core.Replica(name, "", "dc-1") for name in names},
+        lambda _: 0.0005,
+    )
+    loaded = config.LoadedModel(MODEL, VERSION, config.ModelState.READY)
+    for name in names:
+        queued = {1: rng.uniform(0, 8000), 5: rng.uniform(0, 2000)}
+        report = config.LoadReport(
+            1, 0.0, queued, 8, 32, 0.0, 8000.0, {MODEL: loaded}
+        )
+        view.on_report(name, report)
+    digests = [rng.getrandbits(64) for _ in range(known)]
+    for digest in digests:
+        for name in rng.sample(names, min(len(names), 3)):
+            view.locations.learn("customer", digest, name, 0.0)
+    return view, digests
+
+
+def _ask(digests: list[int], rng: random.Random, index: int) -> messages.Ask:
+    chain = tuple(rng.sample(digests, LEVELS))
+    tokens = tuple(2000 * (level + 1) for level in range(LEVELS))
+    return messages.Ask(
+        f"request-{index}",
+        "customer",
+        MODEL,
+        "",
+        VERSION,
+        "",
+        1,
+        1.0,
+        prefix_chain.PrefixChain(chain, tokens, 16400),
+    )
+
+
+def _measure(replicas: int, known: int, count: int, seed: int):
+    rng = random.Random(seed)
+    view, digests = _fleet(replicas, known, rng)
+    policy = routing_decision.POLICIES.get("predictive")(
+        view, messages.Weights(), rng
+    )
+    asks = [_ask(digests, rng, index) for index in range(count)]
+    spent = []
+    for ask in asks:
+        started = time.perf_counter()
+        decided = policy.decide(ask, 0.05).unwrap()
+        policy.sent(decided, 0.05)
+        spent.append((time.perf_counter() - started) * 1e6)
+    spent.sort()
+    return {
+        "replicas": replicas,
+        "known": known,
+        "median_us": statistics.median(spent),
+        "p99_us": spent[int(len(spent) * 0.99)],
+    }
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Measures decisions at several sizes."""
+    rows = [
+        _measure(replicas, known, arguments.decisions, arguments.seed)
+        for replicas, known in SIZES
+    ]
+    return {"target_us": TARGET_US, "levels": LEVELS, "rows": rows}
+
+
+def show(result: dict[str, Any]) -> None:
+    """Prints the figures as a table."""
+    print(f"{'replicas':>9} {'known':>9} {'median us':>10} {'99th us':>9}")
+    for row in result["rows"]:
+        print(
+            f"{row['replicas']:>9} {row['known']:>9} "
+            f"{row['median_us']:>10.1f} {row['p99_us']:>9.1f}"
+        )
+    print(f"target: median at most {result['target_us']} us")
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -34,6 +34,7 @@
 from bergamotmill.routing import admission
 from bergamotmill.routing import decision as routing_decision
 from bergamotmill.routing import messages as routing_messages
+from bergamotmill.routing import notices as routing_notices
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.settings import config
 from bergamotmill.streams import context as stream_context
@@ -49,6 +50,8 @@
 MIN_PLACES = 4
 STATUS_TIMEOUT_S = 1.0
 STATUS_AT_ONCE = 64
+NOTICE_ALL_UP_TO = 8
+NOTICE_RECEIVERS = 7
 
 PeersFactory = Callable[[str, peer_links.Resolver], peer_links.PeerLinks]
 PeerServerFactory = Callable[[str, str, Mapping[str, Any]], Any]
@@ -80,6 +83,7 @@
         self._peers = make_peers(settings.fleet_key, self._peer_address)
         self._make_control()
         self._make_routing()
+        self._make_desks()
         self._make_front(make_peer_server)
 
     def _make_control(self) -> None:
@@ -135,6 +139,13 @@
             ),
             self._rng,
         )
+        self.notices = routing_notices.Notices(
+            self.view,
+            self._peers,
+            self._notice_receivers,
+            clock.monotonic,
+            self._rng,
+        )
         self.streams = stream_context.StreamContext(
             self._settings,
             self._incarnation,
@@ -142,10 +153,13 @@
             self.policy,
             self._engines.links,
             self._stores,
+            self.notices,
             self._metrics,
             clock.monotonic,
-            self._rng,
         )
+
+    def _make_desks(self) -> None:
+        clock = self._clock
         self._services: dict[str, plain.ServiceLink] = {}
         prefix = self._settings.key_value.prefix
         own = self._settings.router
@@ -223,6 +237,7 @@
             "File": self.filings.serve_peer,
             "Tail": generator.tail,
             "Borrow": self.gate.on_borrow,
+            "Notify": self.notices.on_notify,
             "Status": self._on_status,
         }
         self._peer_server = make_peer_server(
@@ -245,6 +260,16 @@
     def _release_number(self) -> int:
         return self.distribution.number
 
+    def _notice_receivers(self, customer: str) -> list[str]:
+        """Returns who is told of a customer's requests."""
+        own = self._settings.router.name
+        alive = self.membership.alive()
+        if len(alive) > NOTICE_ALL_UP_TO:
+            found = self.configuration().customer(customer)
+            alive = [] if found is None else list(self.book.subset(found))
+        names = [member.name for member in alive if member.name != own]
+        return names[:NOTICE_RECEIVERS]
+
     async def start(self) -> None:
         """Starts all parts; requests are served as soon as it can be."""
         self._vms.listen(self._on_vms)
@@ -264,6 +289,7 @@
             "reader": self.distribution.run_reader,
             "puller": self.distribution.run_puller,
             "orders": self.orders.run,
+            "notices": self.notices.run,
         }
         for name, child in children.items():
             self._supervisor.start_child(name, child)
@@ -296,6 +322,7 @@
         """Stops everything at once."""
         await self._supervisor.close()
         await self.orders.close()
+        await self.notices.close()
         await self.desk.close()
         await self.distribution.close()
         for server in reversed(self._servers):
--- a/bergamotmill/streams/context.py
+++ b/bergamotmill/streams/context.py
@@ -1,7 +1,6 @@
 """What the pumps share: the decision, links, journals and metrics."""
 
 from collections.abc import Callable, Mapping
-import random
 
 import result
 
@@ -11,6 +10,7 @@
 from bergamotmill.routing import explain
 from bergamotmill.routing import kept as kept_export
 from bergamotmill.routing import messages as routing_messages
+from bergamotmill.routing import notices as routing_notices
 from bergamotmill.routing import retry_budget
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.settings import config as settings_config
@@ -40,9 +40,9 @@
         policy: routing_decision.PredictivePolicy,
         links: Mapping[str, object],
         stores: kept_store.KeptStoreCoordinator,
+        notices: routing_notices.Notices,
         metrics: stats.Metrics,
         now: Callable[[], float],
-        rng: random.Random,
     ):
         self._settings = settings
         self._incarnation = incarnation
@@ -50,9 +50,9 @@
         self._policy = policy
         self.links = links
         self._stores = stores
+        self._notices = notices
         self.metrics = metrics
         self.now = now
-        self._rng = rng
         self._budget = retry_budget.RetryBudget(now())
         self._exports = kept_export.ExportPolicy(policy.popularity, now())
         self.explanations = explain.Explanations()
@@ -147,6 +147,7 @@
         self._policy.sent(decision, self.now())
         tokens = max(0.0, chain.total_tokens - decision.choice.cached_tokens)
         view.load.sent(tokens, decision.ask.priority, self.now())
+        self._notices.sent(decision, tokens)
 
     def head_seen(self, replica: str, head: config.StreamHead) -> None:
         """Learns from the head of an answer."""
