Soak over real routers on a virtual clock

Cause: promises under faults were untested. The first run found a resumed stream that repeated its beginning: a pump that took a stream over from its engine wrote all events to a caller who had seen some. Change: a network in memory with cuts, silence and kills; a small cluster of real routers and stand-ins; a caller that checks what it gets; drawn faults. The pump now skips what the attached caller has seen.

--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -8,8 +8,9 @@
 
 from bergamotmill.bench import decision
 from bergamotmill.bench import policy
+from bergamotmill.bench import soak
 
-COMMANDS = {"policy": policy, "decision": decision}
+COMMANDS = {"policy": policy, "decision": decision, "soak": soak}
 
 
 def main() -> int:
--- /dev/null
+++ b/bergamotmill/bench/soak.py
@@ -0,0 +1,320 @@
+"""`soak`: real routers under drawn faults, each promise checked.
+
+The promises are asserted inside the program and, here, against the record of
+the stand-ins: which requests ran, and what each caller got.
+"""
+
+import argparse
+import asyncio
+import dataclasses
+import random
+import traceback
+from typing import Any
+import uuid
+
+import loguru
+
+from bergamotmill.bench import faults as soak_faults
+from bergamotmill.standin import caller as standin_caller
+from bergamotmill.standin import cluster as standin_cluster
+from bergamotmill.util import memory_network
+
+STREAM_TOKENS = 24
+FILING_TARGET = "/services/registry/records"
+FILING_TRIES = 4
+STEP_S = 0.8
+SETTLE_S = 45.0
+TRANSFER_BYTES = 18_000
+
+
+@dataclasses.dataclass
+class Tally:
+    """Counts over a run; a run that breaks a promise has violations."""
+
+    streams: int = 0
+    whole: int = 0
+    resumed: int = 0
+    stream_errors: int = 0
+    filings: int = 0
+    filed: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    lookups: int = 0
+    lookup_errors: int = 0
+    steps: int = 0
+    violations: list[str] = dataclasses.field(default_factory=list)
+    faults: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+class Soak:
+    """One run of one seed."""
+
+    def __init__(self, seed: int, steps: int, kinds: tuple[str, ...]):
+        self._seed = seed
+        self._steps = steps
+        self._kinds = kinds
+        self._rng = random.Random(seed)
+        self.tally = Tally()
+        self._network = memory_network.MemoryNetwork(
+            random.Random(f"{seed}/network")
+        )
+        self._cluster = standin_cluster.Cluster(
+            self._network,
+            random.Random(f"{seed}/cluster"),
+            standin_cluster.Sizes(),
+        )
+        self._callers: list[standin_caller.Caller] = []
+        self._claims: dict[bytes, str] = {}
+
+    def run(self) -> Tally:
+        """Runs the seed to its end."""
+        try:
+            memory_network.run(self._network, self._main())
+        except Exception:
+            self.tally.violations.append(traceback.format_exc())
+        return self.tally
+
+    async def _main(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._on_loop_error)
+        sink = loguru.logger.add(self._on_log, level="ERROR")
+        try:
+            await self._cluster.start()
+            addresses = [
+                f"{standin_cluster.router_host(index)}:80"
+                for index in range(self._cluster.sizes.routers)
+            ]
+            self._callers = [
+                standin_caller.Caller(
+                    standin_cluster.CUSTOMER_KEY.format(name), addresses
+                )
+                for name in standin_cluster.CUSTOMERS
+            ]
+            await self._drive()
+            self._check_filings()
+            for caller in self._callers:
+                caller.close()
+            await self._cluster.close()
+        finally:
+            loguru.logger.remove(sink)
+
+    def _on_loop_error(self, loop, context: dict[str, Any]) -> None:
+        del loop
+        error = context.get("exception")
+        if isinstance(error, AssertionError):
+            self.tally.violations.append(f"assertion: {error!r}")
+
+    def _on_log(self, message) -> None:
+        error = message.record["exception"]
+        if error is not None and isinstance(error.value, AssertionError):
+            self.tally.violations.append(f"assertion: {error.value!r}")
+
+    async def _drive(self) -> None:
+        faults = soak_faults.Faults(
+            self._cluster, random.Random(f"{self._seed}/faults")
+        )
+        tasks = []
+        for step in range(self._steps):
+            self.tally.steps += 1
+            tasks.append(asyncio.create_task(self._request(step)))
+            if self._kinds and self._rng.random() < 0.3:
+                kind = self._rng.choice(self._kinds)
+                counts = self.tally.faults
+                counts[kind] = counts.get(kind, 0) + 1
+                tasks.append(asyncio.create_task(faults.inject(kind)))
+            await asyncio.sleep(self._rng.uniform(0.0, STEP_S))
+        done, late = await asyncio.wait(tasks, timeout=SETTLE_S * 4)
+        for task in done:
+            if task.exception() is not None:
+                raise task.exception()
+        if late:
+            self.tally.violations.append(f"{len(late)} never ended")
+        await faults.heal_all()
+        await asyncio.sleep(SETTLE_S)
+        self._check_healed()
+
+    async def _request(self, step: int) -> None:
+        who = self._rng.randrange(len(self._callers))
+        kind = self._rng.random()
+        if kind < 0.5:
+            await self._stream(self._callers[who], step)
+        elif kind < 0.9:
+            await self._file(self._callers[who], step)
+        else:
+            await self._look_up(self._callers[who], step)
+
+    async def _stream(self, caller, step: int) -> None:
+        self.tally.streams += 1
+        prompt = f"{step % 5}" * TRANSFER_BYTES
+        body = {
+            "model": "drafter",
+            "stream": True,
+            "max_tokens": STREAM_TOKENS,
+            "messages": [{"role": "user", "content": prompt}],
+        }
+        got = await caller.stream(body, self._rng.randrange(3))
+        words = got.text.split()
+        wanted = [f"t{index}" for index in range(STREAM_TOKENS)]
+        if words != wanted[: len(words)]:
+            self.tally.violations.append(f"stream {step}: {got.text!r}")
+        if got.whole and len(words) != STREAM_TOKENS:
+            self.tally.violations.append(f"stream {step}: ended early")
+        self.tally.whole += got.whole
+        self.tally.resumed += got.resumes > 0
+        self.tally.stream_errors += not got.whole
+
+    async def _file(self, caller, step: int) -> None:
+        self.tally.filings += 1
+        body = f'{{"filing": {step}}}'.encode()
+        first = self._rng.randrange(3)
+        key = await self._key(caller, first, step)
+        status = 0
+        refused_unrun = True
+        for attempt in range(FILING_TRIES):
+            tries = [first + attempt]
+            if self._rng.random() < 0.3:
+                tries.append(first + attempt + 1)
+            answers = await asyncio.gather(
+                *(
+                    caller.post(index, FILING_TARGET, key, body, 9.0)
+                    for index in tries
+                )
+            )
+            for status, answer in answers:
+                run = answer.get("error", {}).get("run")
+                refused_unrun = refused_unrun and run == "not_run"
+                if status == 201:
+                    break
+            if status == 201:
+                break
+            await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+        self._note_filing(body, status, refused_unrun)
+
+    def _note_filing(self, body, status: int, refused_unrun: bool) -> None:
+        if status == 201:
+            self.tally.filed += 1
+            self._claims[body] = "ran"
+        elif refused_unrun:
+            self.tally.not_run += 1
+            self._claims[body] = "not run"
+        else:
+            self.tally.unknown += 1
+            self._claims[body] = "unknown"
+
+    async def _key(self, caller, first: int, step: int) -> str:
+        if self._rng.random() < 0.6:
+            try:
+                answer = await caller.get_json("/v1/addresses", first)
+                return f"{answer['filing_token']}.{step}"
+            except Exception as err:
+                loguru.logger.debug("soak: no token: {}.", err)
+        loop_ms = int((1_700_000_000 + asyncio.get_running_loop().time()) * 1e3)
+        bits = (loop_ms << 80) | (7 << 76) | (2 << 62)
+        return str(uuid.UUID(int=bits | self._rng.getrandbits(62)))
+
+    async def _look_up(self, caller, step: int) -> None:
+        self.tally.lookups += 1
+        try:
+            answer = await caller.get_json(
+                f"/services/registry/records/{step}", self._rng.randrange(3)
+            )
+        except Exception as err:
+            loguru.logger.debug("soak: look-up failed: {}.", err)
+            self.tally.lookup_errors += 1
+            return
+        if "error" in answer:
+            self.tally.lookup_errors += 1
+        elif answer["record"] != f"/records/{step}":
+            self.tally.violations.append(f"look-up {step} got {answer}")
+
+    def _check_filings(self) -> None:
+        """Compares what callers were told with what the services ran."""
+        runs: dict[bytes, int] = {}
+        for standin in self._cluster.services.values():
+            for body in standin.runs:
+                runs[body] = runs.get(body, 0) + 1
+        for body, told in self._claims.items():
+            count = runs.get(body, 0)
+            if count > 1:
+                self.tally.violations.append(f"{body!r} ran {count} times")
+            if told == "ran" and count != 1:
+                self.tally.violations.append(f"{body!r} is told to have run")
+            if told == "not run" and count != 0:
+                self.tally.violations.append(f"{body!r} is told not run")
+
+    def _check_healed(self) -> None:
+        """After all faults every router serves the same release again."""
+        numbers = {
+            router.distribution.number
+            for router in self._cluster.routers.values()
+        }
+        if len(numbers) != 1:
+            self.tally.violations.append(f"releases in force: {numbers}")
+        for index, router in self._cluster.routers.items():
+            alive = len(router.membership.alive())
+            if alive != self._cluster.sizes.routers:
+                self.tally.violations.append(f"vm-{index} sees {alive} alive")
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the command's options."""
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--steps", type=int, default=40)
+    parser.add_argument(
+        "--faults",
+        default=",".join(soak_faults.FAULTS.names()),
+        help="kinds of faults to draw from",
+    )
+
+
+def shrink(seed: int, steps: int, kinds: tuple[str, ...]) -> dict[str, Any]:
+    """Returns fewer kinds and steps with which the seed still fails."""
+    for kind in kinds:
+        fewer = tuple(item for item in kinds if item != kind)
+        if Soak(seed, steps, fewer).run().violations:
+            kinds = fewer
+    while steps > 1 and Soak(seed, steps // 2, kinds).run().violations:
+        steps //= 2
+    return {"seed": seed, "steps": steps, "faults": list(kinds)}
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Runs the seeds and returns what was seen."""
+    kinds = tuple(item for item in arguments.faults.split(",") if item)
+    total = Tally()
+    failures = []
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        tally = Soak(seed, arguments.steps, kinds).run()
+        _add(total, tally)
+        if tally.violations:
+            smallest = shrink(seed, arguments.steps, kinds)
+            failures.append({**smallest, "violations": tally.violations[:5]})
+    return {
+        "seeds": [arguments.seed, arguments.seed + arguments.seeds - 1],
+        "totals": {
+            key: value
+            for key, value in dataclasses.asdict(total).items()
+            if key != "violations"
+        },
+        "failures": failures,
+        "failed": bool(failures),
+    }
+
+
+def _add(total: Tally, tally: Tally) -> None:
+    for field in dataclasses.fields(Tally):
+        value = getattr(tally, field.name)
+        if isinstance(value, int):
+            setattr(total, field.name, getattr(total, field.name) + value)
+    for kind, count in tally.faults.items():
+        total.faults[kind] = total.faults.get(kind, 0) + count
+
+
+def show(result: dict[str, Any]) -> None:
+    """Prints what was seen."""
+    for key, value in result["totals"].items():
+        print(f"{key}: {value}")
+    for failure in result["failures"]:
+        print(f"FAILED: {failure}")
+    print(f"{len(result['failures'])} seeds with violations")
--- a/bergamotmill/streams/pump.py
+++ b/bergamotmill/streams/pump.py
@@ -51,6 +51,7 @@
         self._tracker = run_state.RunTracker()
         self._sink: messages.Sink | None = None
         self._sink_gone: asyncio.Future[None] | None = None
+        self._sink_seen = 0
         self._linger: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[Finished] | None = None
         self._stream = None
@@ -116,6 +117,9 @@
         )
         if gone.done():
             return None
+        if self._task.cancelled():
+            sink.abort()
+            return None
         return self._task.result()
 
     def _attach(self, sink: messages.Sink, seen: int) -> asyncio.Future[None]:
@@ -124,6 +128,7 @@
             self._detach()
         self._cancel_linger()
         self._sink = sink
+        self._sink_seen = seen
         self._sink_gone = asyncio.get_running_loop().create_future()
         for line in self._numbering.replay(self._journal, seen):
             sink.write(line)
@@ -285,7 +290,9 @@
                     self._usage(event)
                     if not self._numbering.shown(event):
                         continue
-                out.append(line(len(journal.events), event))
+                number = len(journal.events)
+                if number > self._sink_seen:
+                    out.append(line(number, event))
             if out:
                 await self._deliver(out)
             if journal.complete:
