--- a/bergamotmill/control/distribution.py
+++ b/bergamotmill/control/distribution.py
@@ -23,6 +23,7 @@
 from bergamotmill.proto import peer_pb2
 from bergamotmill.util import backoff
 from bergamotmill.util import rendezvous
+from bergamotmill.util import tasks as background
 
 
 class Distribution:
@@ -50,7 +51,7 @@
         self._reading = False
         self._wanted: tuple[str, int] = ("", 0)
         self._pull_now = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
         membership.on_newer_release(self._on_newer)
 
     @property
@@ -232,7 +233,7 @@
         )
         request = peer_pb2.PushRequest(sender=root, release=release)
         for name in self._children(root):
-            self._spawn(self._push_to(name, request))
+            self._tasks.spawn(self._push_to(name, request))
 
     def _children(self, root: str) -> list[str]:
         """Returns the next routers in the tree that starts at `root`."""
@@ -329,16 +330,9 @@
             self._adopt_whole(whole)
         return True
 
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def close(self) -> None:
         """Stops what is under way."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.sleep(0)
+        await self._tasks.close()
 
 
 def _whole_of(reply: peer_pb2.PullReply) -> core.Configuration:
--- a/bergamotmill/control/release_desk.py
+++ b/bergamotmill/control/release_desk.py
@@ -17,6 +17,7 @@
 from bergamotmill.control import release_store
 from bergamotmill.helpers import findings
 from bergamotmill.platform import key_value
+from bergamotmill.util import tasks as background
 
 IN_FORCE_CHECK_S = 0.25
 IN_FORCE_WAIT_S = 8.0
@@ -56,7 +57,7 @@
         self._membership = membership
         self._history = history
         self._wall = wall
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
 
     def check(
         self, value: Any, source: str
@@ -88,9 +89,7 @@
         self._history.add(
             "release", f"{note.number} by {author}: {draft.title}"
         )
-        task = asyncio.create_task(self._audit(note))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._audit(note))
         return published
 
     async def _audit(self, note: notes.Note) -> None:
@@ -141,9 +140,7 @@
 
     async def close(self) -> None:
         """Stops waiting for releases to be in force."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.sleep(0)
+        await self._tasks.close()
 
 
 def _audit_line(note: notes.Note, force: dict[str, Any] | None) -> AuditLine:
--- a/bergamotmill/control/release_store.py
+++ b/bergamotmill/control/release_store.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 import dataclasses
 import json
-import uuid
 
 import result
 
@@ -19,6 +18,7 @@
 from bergamotmill.control import pages as config_pages
 from bergamotmill.helpers import findings
 from bergamotmill.platform import key_value
+from bergamotmill.util import ids as id_source
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,10 +52,12 @@
         store: key_value.KeyValueStore,
         prefix: str,
         wall: Callable[[], float],
+        ids: id_source.IdSource,
     ):
         self._store = store
         self._prefix = prefix
         self._wall = wall
+        self._ids = ids
 
     @property
     def head_key(self) -> str:
@@ -161,7 +163,7 @@
             head.digest,
             author,
             self._wall(),
-            uuid.uuid4().hex,
+            self._ids.new(),
             draft,
         )
         return await self._write(configuration, head, note)
--- a/bergamotmill/filings/claims.py
+++ b/bergamotmill/filings/claims.py
@@ -5,13 +5,13 @@
 import dataclasses
 import hashlib
 import json
-import uuid
 
 import result
 
 from bergamotmill.filings import const
 from bergamotmill.filings import messages
 from bergamotmill.platform import key_value
+from bergamotmill.util import ids as id_source
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,12 +76,14 @@
         router: str,
         incarnation: int,
         now: Callable[[], float],
+        ids: id_source.IdSource,
     ):
         self._store = store
         self._prefix = prefix + const.CLAIM_PREFIX
         self._router = router
         self._incarnation = incarnation
         self._now = now
+        self._ids = ids
         self._lease = 0
         self._lease_until = -1.0
 
@@ -103,7 +105,7 @@
         if lease.is_err():
             return lease
         claim = Claim(
-            self._router, self._incarnation, digest.hex(), uuid.uuid4().hex
+            self._router, self._incarnation, digest.hex(), self._ids.new()
         )
         stored = self._key(customer, key)
         written = await self._store.put(stored, claim.encode(), 0, lease.ok())
--- a/bergamotmill/filings/desk.py
+++ b/bergamotmill/filings/desk.py
@@ -18,6 +18,8 @@
 from bergamotmill.upstream.plain import config
 from bergamotmill.upstream.plain import coordinator as plain
 from bergamotmill.util import clock as clocks
+from bergamotmill.util import ids as id_source
+from bergamotmill.util import tasks as background
 
 State = messages.FilingState
 ServiceOf = Callable[[str], plain.ServiceLink | None]
@@ -36,6 +38,7 @@
         service_of: ServiceOf,
         metrics: stats.Metrics,
         clock: clocks.Clock,
+        ids: id_source.IdSource,
     ):
         self._router = router
         self._incarnation = incarnation
@@ -45,8 +48,9 @@
         self._service_of = service_of
         self._metrics = metrics
         self._clock = clock
+        self._ids = ids
         self.ledger = filing_ledger.Ledger(clock.wall)
-        self._running: set[asyncio.Task[None]] = set()
+        self._running = background.Tasks()
 
     def token(self, customer: str) -> str:
         """Returns a token under which a customer makes keys."""
@@ -134,9 +138,7 @@
         entry: filing_ledger.Entry,
         claimed: bool,
     ) -> None:
-        task = asyncio.create_task(self._execute(filing, entry, claimed))
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
+        self._running.spawn(self._execute(filing, entry, claimed))
 
     async def _await_entry(
         self, filing: messages.Filing, entry: filing_ledger.Entry
@@ -179,7 +181,7 @@
             )
         tracker = _EntryTracker(entry)
         call = config.ServiceCall(
-            request_id=f"{self._incarnation}-{id(entry):x}",
+            request_id=self._ids.new(),
             customer=filing.customer,
             method=filing.method,
             target=filing.target,
@@ -306,14 +308,11 @@
 
     async def drain(self) -> None:
         """Waits for the calls that are under way."""
-        if self._running:
-            await asyncio.wait(set(self._running))
+        await self._running.drain()
 
     async def close(self) -> None:
         """Stops what is left; its outcomes stay unknown."""
-        for task in list(self._running):
-            task.cancel()
-        await asyncio.sleep(0)
+        await self._running.close()
 
 
 class _EntryTracker(run_state.RunTracker):
--- a/bergamotmill/front/callers.py
+++ b/bergamotmill/front/callers.py
@@ -1,7 +1,6 @@
 """The callers' interface: models, plain services, filings, addresses."""
 
 from collections.abc import Awaitable, Callable
-import uuid
 
 from bergamotmill import core
 from bergamotmill.filings import desk as filing_desk
@@ -22,6 +21,7 @@
 from bergamotmill.upstream import errors
 from bergamotmill.upstream.plain import config as plain_config
 from bergamotmill.upstream.plain import coordinator as plain
+from bergamotmill.util import ids as id_source
 from bergamotmill.util import registry
 
 SERVICE_COST_TOKENS = 100
@@ -45,6 +45,7 @@
         service_of: Callable[[str], plain.ServiceLink | None],
         metrics: stats.Metrics,
         now: Callable[[], float],
+        ids: id_source.IdSource,
     ):
         self._gate = gate
         self.generator = generator
@@ -53,6 +54,7 @@
         self._service_of = service_of
         self._metrics = metrics
         self._now = now
+        self._ids = ids
         self._configuration = core.empty_configuration()
         self._leaving = False
 
@@ -142,7 +144,7 @@
         self, exchange: http_server.Exchange, customer: core.Customer
     ) -> None:
         """Serves a request to a model."""
-        request_id = uuid.uuid4().hex
+        request_id = self._ids.new()
         checked = parse.model_request(
             exchange.request,
             request_id,
@@ -282,7 +284,7 @@
         left_s: float,
     ) -> None:
         call = plain_config.ServiceCall(
-            uuid.uuid4().hex,
+            self._ids.new(),
             customer.name,
             exchange.request.method,
             target,
@@ -330,7 +332,7 @@
         request = exchange.request
         key = request.headers.get(const.HEADER_KEY)
         if key is None:
-            key = f"{self.desk.token(customer.name)}.{uuid.uuid4().hex}"
+            key = f"{self.desk.token(customer.name)}.{self._ids.new()}"
         filing = filing_messages.Filing(
             customer.name,
             key,
--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -16,6 +16,7 @@
 READ_PAUSE_BYTES = 256 * 1024
 IDLE_LIFETIME_S = 15.0
 MAX_IDLE = 32
+TIMER_SLACK_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True)
@@ -149,15 +150,15 @@
     def _check_silence(self) -> None:
         if self._complete or self._error is not None:
             return
-        quiet = self._loop.time() - self._last_data
+        now = self._loop.time()
         if self._paused:
-            quiet = 0.0
-        if quiet >= self._silence_s:
-            self._fail(http_errors.SilenceError(f"{quiet:.1f} s"))
+            self._last_data = now
+        due = self._last_data + self._silence_s
+        # A timer may fire a little early; it must not be set again for it.
+        if now >= due - TIMER_SLACK_S:
+            self._fail(http_errors.SilenceError(f"{self._silence_s:.1f} s"))
             return
-        self._watch = self._loop.call_later(
-            self._silence_s - quiet, self._check_silence
-        )
+        self._watch = self._loop.call_at(due, self._check_silence)
 
     def _stop_watch(self) -> None:
         if self._watch is not None:
--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -169,7 +169,7 @@
         """Starts serving the connection."""
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
-        self._server.connections.add(self)
+        self._server.connections[self] = None
         self._task = asyncio.get_running_loop().create_task(self._serve())
 
     def data_received(self, data: bytes) -> None:
@@ -189,7 +189,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the present exchange that its caller left."""
         self._gone = True
-        self._server.connections.discard(self)
+        self._server.connections.pop(self, None)
         self._writable.set()
         self._data.set()
         if self._exchange is not None and not self._exchange.finished:
@@ -367,7 +367,7 @@
         self._address = address
         self.handler = handler
         self.max_body_bytes = max_body_bytes
-        self.connections: set[ServerConnection] = set()
+        self.connections: dict[ServerConnection, None] = {}
         self.closing = False
         self._server: asyncio.Server | None = None
 
--- a/bergamotmill/platform/memory/coordinator.py
+++ b/bergamotmill/platform/memory/coordinator.py
@@ -28,7 +28,7 @@
         self._leases: dict[int, _Lease] = {}
         self._revision = 0
         self._next_lease = 0
-        self._watchers: set[tuple[str, asyncio.Queue]] = set()
+        self._watchers: dict[asyncio.Queue, str] = {}
         self.reads = 0
         self.writes = 0
         self.watches = 0
@@ -135,8 +135,7 @@
         """Gives changes under a prefix as they come."""
         self.watches += 1
         queue: asyncio.Queue[key_value.Event] = asyncio.Queue()
-        watcher = (prefix, queue)
-        self._watchers.add(watcher)
+        self._watchers[queue] = prefix
         try:
             while True:
                 events = [await queue.get()]
@@ -144,10 +143,10 @@
                     events.append(queue.get_nowait())
                 yield events
         finally:
-            self._watchers.discard(watcher)
+            self._watchers.pop(queue, None)
 
     def _notify(self, event: key_value.Event) -> None:
-        for prefix, queue in self._watchers:
+        for queue, prefix in self._watchers.items():
             if event.key.startswith(prefix):
                 queue.put_nowait(event)
 
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -44,6 +44,7 @@
 from bergamotmill.upstream.kept import coordinator as kept_store
 from bergamotmill.upstream.plain import coordinator as plain
 from bergamotmill.util import clock as clocks
+from bergamotmill.util import ids as id_source
 
 NEAR_S = 0.0005
 FAR_S = 0.0015
@@ -76,6 +77,7 @@
         self._clock = clock
         self._rng = rng
         self._incarnation = incarnation
+        self._ids = id_source.IdSource(rng)
         self._supervisor = supervisor.Supervisor("router", rng)
         self._metrics = stats.Metrics(settings.statsd_address)
         self._history = fleet_history.History(clock.wall)
@@ -105,7 +107,9 @@
             clock.monotonic,
             self._release_number,
         )
-        releases = release_store.ReleaseStore(self._store, prefix, clock.wall)
+        releases = release_store.ReleaseStore(
+            self._store, prefix, clock.wall, self._ids
+        )
         self.distribution = release_distribution.Distribution(
             releases,
             self._store,
@@ -173,11 +177,13 @@
                 own.name,
                 self._incarnation,
                 clock.monotonic,
+                self._ids,
             ),
             self._peers,
             self._services.get,
             self._metrics,
             clock,
+            self._ids,
         )
         holder = engine_orders.Holder(
             self._store,
@@ -217,6 +223,7 @@
             self._services.get,
             self._metrics,
             now,
+            self._ids,
         )
         self._operators = operators.OperatorFront(
             settings.operator_key_digests,
--- a/bergamotmill/routing/notices.py
+++ b/bergamotmill/routing/notices.py
@@ -14,6 +14,7 @@
 from bergamotmill.proto import peer_pb2
 from bergamotmill.routing import messages
 from bergamotmill.routing import view as fleet_view
+from bergamotmill.util import tasks as background
 from bergamotmill.util import token_bucket
 
 PERIOD_S = 0.05
@@ -44,7 +45,7 @@
         self._rng = rng
         self._waiting: dict[str, list[peer_pb2.Notice]] = {}
         self._bucket = token_bucket.TokenBucket(BYTES_PER_S, BURST_BYTES, now())
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
 
     def sent(self, decision: messages.Decision, tokens: float) -> None:
         """Has a request told to those who should know."""
@@ -80,9 +81,7 @@
                     break
                 request.notices.append(notice)
             if request.notices:
-                task = asyncio.create_task(self._tell(name, request))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._tasks.spawn(self._tell(name, request))
 
     async def _tell(self, name: str, request: peer_pb2.NotifyRequest) -> None:
         await self._peers.call(name, "Notify", request, TIMEOUT_S)
@@ -104,9 +103,7 @@
 
     async def close(self) -> None:
         """Stops what is under way."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.sleep(0)
+        await self._tasks.close()
 
 
 def _tokens(notice: peer_pb2.Notice) -> int:
--- a/bergamotmill/standin/engine.py
+++ b/bergamotmill/standin/engine.py
@@ -12,6 +12,7 @@
 from bergamotmill.standin import engine_model
 from bergamotmill.standin import engine_stream
 from bergamotmill.upstream.engine import const
+from bergamotmill.util import tasks as background
 
 PIECE_TOKENS = 2000
 HEARTBEAT_S = 1.0
@@ -69,7 +70,7 @@
         self._fencing = 0
         self._streams: dict[str, engine_stream.HeldStream] = {}
         self._wake = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.Tasks()
 
     @property
     def streams(self) -> dict[str, engine_stream.HeldStream]:
@@ -78,27 +79,23 @@
 
     async def start(self) -> None:
         await self._server.start()
-        self._spawn(self._drive())
+        self._tasks.spawn(self._drive())
 
     async def close(self) -> None:
         """Ends at once, as a killed process does."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         await self._server.close()
         self._pool.close()
 
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _drive(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             for ready in self._model.advance(loop.time()):
                 stream = self._streams.get(ready.job.name)
                 if stream is not None:
-                    self._spawn(stream.generate(ready, self._speed.token_s))
+                    self._tasks.spawn(
+                        stream.generate(ready, self._speed.token_s)
+                    )
             due = self._model.next_time(loop.time())
             self._wake.clear()
             try:
@@ -236,7 +233,7 @@
         )
         await stream.serve(exchange, seen, HEARTBEAT_S)
         if exchange.disconnected and not stream.complete:
-            self._spawn(self._drop_later(stream))
+            self._tasks.spawn(self._drop_later(stream))
 
     def _load_header(self) -> bytes:
         return json.dumps(self._report(), separators=(",", ":")).encode()
@@ -280,7 +277,7 @@
             held = self.models.get(name)
             same = held is not None and held["version"] == order["version"]
             if not same or held["adapters"] != order["adapters"]:
-                self._spawn(self._load(order))
+                self._tasks.spawn(self._load(order))
         exchange.respond_json(200, {})
 
     async def _load(self, order: dict[str, Any]) -> None:
--- a/bergamotmill/standin/key_value.py
+++ b/bergamotmill/standin/key_value.py
@@ -42,7 +42,7 @@
         self.down = False
         self.lose_answers = 0
         self.delay_s = 0.0
-        self._watching: set[http_server.Exchange] = set()
+        self._watching: dict[http_server.Exchange, None] = {}
 
     @property
     def port(self) -> int:
@@ -143,7 +143,7 @@
         exchange.on_close(left.set)
         exchange.start(200, [http_server.JSON_TYPE])
         exchange.write(b'{"result":{"created":true}}\n')
-        self._watching.add(exchange)
+        self._watching[exchange] = None
         changes = self.store.watch(_decode(body["key"]))
         pending: asyncio.Task | None = None
         leaving = asyncio.create_task(left.wait())
@@ -162,7 +162,7 @@
                 line = json.dumps({"result": {"events": events}})
                 exchange.write(line.encode() + b"\n")
         finally:
-            self._watching.discard(exchange)
+            self._watching.pop(exchange, None)
             leaving.cancel()
             if pending is not None:
                 pending.cancel()
--- a/bergamotmill/streams/assemble.py
+++ b/bergamotmill/streams/assemble.py
@@ -1,6 +1,6 @@
 """Makes a whole answer of the events of a stream."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from bergamotmill.streams import events as sse
@@ -29,6 +29,16 @@
     return answer
 
 
+def is_finished(raw_events: Sequence[bytes]) -> bool:
+    """Whether the first choice has got its last token."""
+    for raw in reversed(raw_events):
+        if sse.is_done(raw) or sse.is_comment(raw):
+            continue
+        for choice in sse.data_of(raw).get("choices", []):
+            return choice.get("finish_reason") is not None
+    return False
+
+
 def text_of(raw_events: Iterable[bytes]) -> tuple[str, int]:
     """Returns the text of the first choice and its number of tokens."""
     parts = []
--- a/bergamotmill/streams/pump.py
+++ b/bergamotmill/streams/pump.py
@@ -182,6 +182,9 @@
         while True:
             try:
                 if self._stream is None:
+                    if assemble.is_finished(self._journal.events):
+                        await self._close_finished()
+                        return None
                     opened = await self._open()
                     if opened.is_err():
                         return opened.err()
@@ -194,6 +197,14 @@
                 if refused is not None:
                     return refused
 
+    async def _close_finished(self) -> None:
+        """Ends a stream whose engine died after the last token."""
+        self._journal.append(const.DONE)
+        self._journal.complete = True
+        number = len(self._journal.events)
+        if number > self._sink_seen:
+            await self._deliver([self._numbering.line(number, const.DONE)])
+
     async def _open(self) -> result.Result[None, refusal.Refusal]:
         decided = await self._shared.decide(
             self._request, frozenset(self._excluded)
--- a/bergamotmill/upstream/kept/coordinator.py
+++ b/bergamotmill/upstream/kept/coordinator.py
@@ -1,6 +1,5 @@
 """Asks the nearest store what it holds, and has engines export to it."""
 
-import asyncio
 from collections.abc import Callable, Mapping
 import json
 
@@ -12,6 +11,7 @@
 from bergamotmill.routing import chain as prefix_chain
 from bergamotmill.upstream.kept import config
 from bergamotmill.upstream.kept import const
+from bergamotmill.util import tasks as background
 
 
 class KeptStoreCoordinator:
@@ -23,7 +23,7 @@
         self._store: core.Store | None = None
         self._pool = http_client.Pool()
         self._paused_until = 0.0
-        self._exports: set[asyncio.Task[None]] = set()
+        self._exports = background.Tasks()
 
     @property
     def address(self) -> str:
@@ -40,8 +40,7 @@
 
     def close(self) -> None:
         """Stops exports and closes connections."""
-        for task in list(self._exports):
-            task.cancel()
+        self._exports.cancel()
         self._pool.close()
 
     async def look_up(
@@ -85,11 +84,9 @@
             return
         if len(self._exports) >= const.EXPORTS_AT_ONCE:
             return
-        task = asyncio.create_task(
+        self._exports.spawn(
             self._export(link, replica, self._store.address, digests)
         )
-        self._exports.add(task)
-        task.add_done_callback(self._exports.discard)
 
     async def _export(self, link, replica, address, digests) -> None:
         done = await link.export(address, digests)
--- a/bergamotmill/util/memory_network.py
+++ b/bergamotmill/util/memory_network.py
@@ -124,7 +124,7 @@
             return
         self._lost = True
         self._closing = True
-        self._network.ends.discard(self)
+        self._network.ends.pop(self, None)
         self.protocol.connection_lost(error)
 
 
@@ -151,7 +151,7 @@
     def __init__(self, rng: random.Random):
         self._rng = rng
         self.servers: dict[tuple[str, int], Callable[[], Any]] = {}
-        self.ends: set[_End] = set()
+        self.ends: dict[_End, None] = {}
         self._cut: set[frozenset[str]] = set()
         self._dead: set[str] = set()
         self.bytes = 0
@@ -214,7 +214,8 @@
         near = _End(self, source, factory())
         far = _End(self, host, accept())
         near.peer, far.peer = far, near
-        self.ends.update((near, far))
+        self.ends[near] = None
+        self.ends[far] = None
         near.protocol.connection_made(near)
         far.protocol.connection_made(far)
         return near, near.protocol
--- a/bergamotmill/util/virtual_loop.py
+++ b/bergamotmill/util/virtual_loop.py
@@ -5,6 +5,10 @@
 import selectors
 from typing import Any
 
+# So many rounds of the loop without time passing are taken as endless.
+STANDSTILL_ROUNDS = 200_000
+SMALLEST_STEP_S = 1e-9
+
 
 class _JumpingSelector(selectors.DefaultSelector):
     """Returns at once and reports how long it should have waited."""
@@ -12,15 +16,22 @@
     def __init__(self):
         super().__init__()
         self.now = 0.0
+        self._rounds = 0
 
     def select(self, timeout=None):
         """Advances the virtual time by the timeout when idle."""
+        self._rounds += 1
+        if self._rounds > STANDSTILL_ROUNDS:
+            raise RuntimeError(f"virtual loop: time stands still at {self.now}")
         ready = super().select(0)
         if ready:
             return ready
         if timeout is None:
             raise RuntimeError("virtual loop: nothing left to wait for")
-        self.now += timeout
+        if timeout > 0:
+            # Less than this would be lost in rounding.
+            self.now += max(timeout, SMALLEST_STEP_S)
+            self._rounds = 0
         return ready
 
 
