--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -8,9 +8,15 @@
 
 from bergamotmill.bench import decision
 from bergamotmill.bench import policy
+from bergamotmill.bench import relay
 from bergamotmill.bench import soak
 
-COMMANDS = {"policy": policy, "decision": decision, "soak": soak}
+COMMANDS = {
+    "policy": policy,
+    "decision": decision,
+    "soak": soak,
+    "relay": relay,
+}
 
 
 def main() -> int:
--- /dev/null
+++ b/bergamotmill/bench/relay.py
@@ -0,0 +1,199 @@
+"""`bench relay`: what one router costs on the way of a stream.
+
+script/bench starts the processes; this measures them from outside.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import time
+from typing import Any
+
+from bergamotmill.bench import figures
+from bergamotmill.helpers import http_client
+from bergamotmill.helpers import http_errors
+from bergamotmill.streams import events as sse
+
+TARGET_US_PER_TOKEN = 39.0
+TARGET_ADDED_MEDIAN_MS = 2.0
+TARGET_ADDED_P99_MS = 5.0
+TARGET_START_S = 1.0
+TICKS = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+PATH = "/v1/chat/completions"
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the command's options."""
+    parser.add_argument("--router", default="127.0.0.1:18101")
+    parser.add_argument("--engine", default="127.0.0.1:18011")
+    parser.add_argument("--router-pid", type=int, required=True)
+    parser.add_argument("--start-s", type=float, default=0.0)
+    parser.add_argument("--key", default="demo-customer-key")
+    parser.add_argument("--streams", type=int, default=540)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--rate", type=float, default=30.0)
+
+
+def _cpu_s(pid: int) -> float:
+    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def _memory_kb(pid: int) -> float:
+    text = pathlib.Path(f"/proc/{pid}/statm").read_text()
+    return int(text.split()[1]) * PAGE / 1024
+
+
+class Load:
+    """Streams through one address."""
+
+    def __init__(self, address: str, key: str):
+        self._address = address
+        self._headers = [
+            (b"authorization", f"Bearer {key}".encode()),
+            (b"content-type", b"application/json"),
+        ]
+        self._pool = http_client.Pool()
+        self.tokens = 0
+
+    def close(self) -> None:
+        """Closes the connections."""
+        self._pool.close()
+
+    async def stream(self, tokens: int) -> float:
+        """Reads one stream to its end; returns the first token's time."""
+        body = {
+            "model": "drafter",
+            "stream": True,
+            "max_tokens": tokens,
+            "messages": [{"role": "user", "content": "short"}],
+        }
+        started = time.perf_counter()
+        conn = await self._pool.acquire(self._address)
+        head = await conn.request(
+            "POST", PATH, self._headers, json.dumps(body).encode()
+        )
+        if head.status != 200:
+            raise RuntimeError(f"{head.status}: {await conn.read_all(9999)}")
+        splitter = sse.EventSplitter()
+        first = 0.0
+        while data := await conn.read():
+            found = splitter.feed(data)
+            if not first and any(b"data:" in event for event in found):
+                first = time.perf_counter() - started
+            self.tokens += len(found)
+        self._pool.release(conn)
+        return first
+
+
+async def _first_tokens(load: Load, rate: float, seconds: float):
+    tasks = []
+    for _ in range(int(rate * seconds)):
+        tasks.append(asyncio.create_task(load.stream(4)))
+        await asyncio.sleep(1.0 / rate)
+    return [value * 1000.0 for value in await asyncio.gather(*tasks)]
+
+
+async def _throughput(load: Load, arguments) -> dict[str, float]:
+    pid = arguments.router_pid
+    idle_kb = _memory_kb(pid)
+    count = int(24 * (arguments.seconds + 8))
+    tasks = []
+    for index in range(arguments.streams):
+        tasks.append(asyncio.create_task(load.stream(count)))
+        if index % 20 == 0:
+            await asyncio.sleep(0.05)
+    await asyncio.sleep(2.0)
+    before = (_cpu_s(pid), load.tokens, time.perf_counter())
+    await asyncio.sleep(arguments.seconds)
+    after = (_cpu_s(pid), load.tokens, time.perf_counter())
+    active_kb = _memory_kb(pid)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    tokens = after[1] - before[1]
+    seconds = after[2] - before[2]
+    cpu = after[0] - before[0]
+    return {
+        "tokens_per_s": tokens / seconds,
+        "core_share": cpu / seconds,
+        "us_per_token": cpu / max(1, tokens) * 1e6,
+        "tokens_per_core": tokens / max(cpu, 1e-9),
+        "kb_per_active_stream": (active_kb - idle_kb) / arguments.streams,
+    }
+
+
+async def _idle(arguments) -> float:
+    pid = arguments.router_pid
+    before = _memory_kb(pid)
+    pool = http_client.Pool()
+    conns = [
+        await pool.acquire(arguments.router, fresh=True)
+        for _ in range(arguments.streams)
+    ]
+    await asyncio.sleep(0.5)
+    after = _memory_kb(pid)
+    for conn in conns:
+        conn.close()
+    return (after - before) / arguments.streams
+
+
+async def _run(arguments: argparse.Namespace) -> dict[str, Any]:
+    direct = Load(arguments.engine, arguments.key)
+    routed = Load(arguments.router, arguments.key)
+    cpu_before = _cpu_s(arguments.router_pid)
+    at = time.perf_counter()
+    await asyncio.sleep(2.0)
+    idle_core = (_cpu_s(arguments.router_pid) - cpu_before) / (
+        time.perf_counter() - at
+    )
+    for load in (direct, routed):
+        await _first_tokens(load, arguments.rate, 2.0)
+    times = {"direct": [], "routed": []}
+    for _ in range(3):
+        for name, load in (("direct", direct), ("routed", routed)):
+            times[name] += await _first_tokens(load, arguments.rate, 4.0)
+    result: dict[str, Any] = {
+        "start_s": arguments.start_s,
+        "idle_core_share": idle_core,
+        "kb_per_idle_connection": await _idle(arguments),
+    }
+    for percent in (50, 99):
+        values = {
+            name: figures.percentile(found, percent)
+            for name, found in times.items()
+        }
+        result[f"first_token_direct_p{percent}_ms"] = values["direct"]
+        added = values["routed"] - values["direct"]
+        result[f"first_token_added_p{percent}_ms"] = added
+    result.update(await _throughput(routed, arguments))
+    routed.close()
+    direct.close()
+    return result
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Measures one running router."""
+    try:
+        import uvloop
+
+        return uvloop.run(_run(arguments))
+    except http_errors.HttpError as err:
+        return {"failed": True, "error": repr(err)}
+
+
+def show(result: dict[str, Any]) -> None:
+    """Prints the figures beside their targets."""
+    targets = {
+        "us_per_token": TARGET_US_PER_TOKEN,
+        "first_token_added_p50_ms": TARGET_ADDED_MEDIAN_MS,
+        "first_token_added_p99_ms": TARGET_ADDED_P99_MS,
+        "start_s": TARGET_START_S,
+    }
+    for key, value in result.items():
+        target = f"  target {targets[key]}" if key in targets else ""
+        print(f"{key:<28} {value:12.3f}{target}")
--- a/bergamotmill/standin/__main__.py
+++ b/bergamotmill/standin/__main__.py
@@ -23,6 +23,7 @@
     parser.add_argument("--name", default="standin")
     parser.add_argument("--models", default="{}", help="JSON: name to version")
     parser.add_argument("--vms", default="[]", help="JSON list of VMs")
+    parser.add_argument("--slots", type=int, default=32)
     parser.add_argument("--token-ms", type=float, default=20.0)
     return parser
 
@@ -37,7 +38,9 @@
         return engine.EngineStandIn(
             arguments.address,
             json.loads(arguments.models),
-            engine_model.Speed(token_s=arguments.token_ms / 1000.0),
+            engine_model.Speed(
+                token_s=arguments.token_ms / 1000.0, slots=arguments.slots
+            ),
         )
     if arguments.kind == "kept":
         return service.KeptStandIn(arguments.address)
