Bench control: spread, bytes, calls, memory against the fleet's size

Change: real membership and distribution over links in memory, gRPC's cost apart; newcomers' news is spread a third as often, as the platform lists them.

--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -6,6 +6,7 @@
 
 import loguru
 
+from bergamotmill.bench import control
 from bergamotmill.bench import decision
 from bergamotmill.bench import policy
 from bergamotmill.bench import relay
@@ -14,6 +15,7 @@
 COMMANDS = {
     "policy": policy,
     "decision": decision,
+    "control": control,
     "soak": soak,
     "relay": relay,
 }
--- a/bergamotmill/control/const.py
+++ b/bergamotmill/control/const.py
@@ -9,6 +9,8 @@
 UPDATES_PER_MESSAGE = 8
 # An update is passed on so many times the logarithm of the fleet's size.
 SPREAD_FACTOR = 3
+# The platform's list tells of newcomers too, so that less will do.
+JOIN_SPREAD_FACTOR = 1
 JOIN_PROBES = 8
 FORGET_S = 30.0
 
--- a/bergamotmill/control/membership.py
+++ b/bergamotmill/control/membership.py
@@ -286,9 +286,10 @@
             self._dead_at.setdefault(member.name, self._now())
         else:
             self._dead_at.pop(member.name, None)
-        times = const.SPREAD_FACTOR * math.ceil(
-            math.log2(len(self._members) + 1)
-        )
+        factor = const.SPREAD_FACTOR
+        if member.state is State.ALIVE and member.sequence == 0:
+            factor = const.JOIN_SPREAD_FACTOR
+        times = factor * math.ceil(math.log2(len(self._members) + 1))
         self._updates.add(member.name, times)
         if known is None or _serving(known) != _serving(member):
             self._changed()
