Tests of routing; a late report never replaces a newer one

Cause: a report that came out of order, with other models, voided what was known of a replica; a replica first seen was penalised as if it had restarted. Change: older reports of one incarnation are dropped; the penalty follows a restart only.

--- a/bergamotmill/routing/load.py
+++ b/bergamotmill/routing/load.py
@@ -38,10 +38,11 @@
         """Takes a newer report."""
         old = self._report
         if old is not None and old.incarnation == report.incarnation:
-            if report.as_of <= old.as_of:
+            if report.as_of < old.as_of:
                 return
             known = self._take_until(report.as_of)
-            self._learn_others(old, report, known)
+            if report.as_of > old.as_of:
+                self._learn_others(old, report, known)
         else:
             self._take_until(report.as_of)
             self._others_rate = 0.0
--- a/bergamotmill/routing/view.py
+++ b/bergamotmill/routing/view.py
@@ -141,7 +141,10 @@
         if view is None or report.incarnation < view.incarnation:
             return
         old = view.load.report
-        if report.incarnation > view.incarnation:
+        newer = report.incarnation > view.incarnation
+        if old is not None and not newer and report.as_of < old.as_of:
+            return
+        if newer:
             self.new_incarnation(name, report.incarnation)
         view.load.on_report(report)
         if old is None or _changes_eligibility(old, report):
@@ -159,10 +162,11 @@
     def new_incarnation(self, name: str, incarnation: int) -> None:
         """Voids what was known of a replica that has started anew."""
         view = self._views[name]
+        if view.incarnation > 0:
+            view.health.restarted(self._now())
         view.incarnation = incarnation
         view.event_sequence = 0
         self.locations.invalidate(name)
-        view.health.restarted(self._now())
         self._changed()
 
     def on_cache_events(
--- /dev/null
+++ b/tests/routing/test_decision.py
@@ -0,0 +1,188 @@
+import collections
+import random
+import unittest
+
+from bergamotmill import core
+from bergamotmill.bench import baselines  # noqa: F401
+from bergamotmill.routing import chain
+from bergamotmill.routing import decision
+from bergamotmill.routing import messages
+from bergamotmill.routing import view
+from bergamotmill.upstream.engine import config
+
+NAMES = ("a", "b", "c")
+
+
+class Router:
+    def __init__(self, policy="predictive", seed=1, names=NAMES):
+        self.now = 100.0
+        self.view = view.FleetView(lambda: self.now)
+        replicas = {name: core.Replica(name, "", "dc") for name in names}
+        self.view.adopt(replicas, lambda _: 0.001)
+        self.policy = decision.POLICIES.get(policy)(
+            self.view, messages.Weights(), random.Random(seed)
+        )
+        for name in names:
+            self.report(name)
+
+    def report(self, name, queued=0.0, incarnation=1, version="v1", **more):
+        loaded = config.LoadedModel("m", version, config.ModelState.READY)
+        self.view.on_report(
+            name,
+            config.LoadReport(
+                incarnation,
+                self.now,
+                {1: queued},
+                0,
+                32,
+                0.0,
+                8000.0,
+                {"m": loaded},
+                **more,
+            ),
+        )
+
+    def ask(self, text=b"x" * 48000, customer="one", version="v1", **more):
+        salt = chain.salt(customer, 0, "m", "", version)
+        built = chain.build(text, salt, 8000, 2000)
+        return messages.Ask(
+            "r", customer, "m", "", version, "", 1, 1.0, built, **more
+        )
+
+    def decide(self, ask):
+        return self.policy.decide(ask, self.now).unwrap()
+
+    def serve(self, ask, cached=0):
+        decided = self.decide(ask)
+        self.policy.sent(decided, self.now)
+        self.policy.answered(decided, cached, self.now)
+        return decided.choice.replica
+
+
+class DecisionTest(unittest.TestCase):
+    def test_goes_where_the_prompt_is_cached(self):
+        router = Router()
+        first = router.serve(router.ask())
+        longer = router.ask(b"x" * 56000)
+        self.assertEqual(router.decide(longer).choice.replica, first)
+        self.assertGreater(router.decide(longer).choice.cached_tokens, 10_000)
+
+    def test_leaves_a_cached_replica_whose_queue_is_too_long(self):
+        router = Router()
+        first = router.serve(router.ask())
+        router.now += 1.0
+        for name in NAMES:
+            router.report(name, 900_000.0 if name == first else 0.0)
+        self.assertNotEqual(router.decide(router.ask()).choice.replica, first)
+
+    def test_new_incarnation_voids_what_was_cached(self):
+        router = Router()
+        first = router.serve(router.ask())
+        router.report(first, incarnation=2)
+        for item in router.decide(router.ask()).candidates:
+            self.assertEqual(item.known_level, 0, item)
+
+    def test_late_event_of_an_old_incarnation_revives_nothing(self):
+        router = Router()
+        ask = router.ask()
+        router.report("a", incarnation=2)
+        event = config.CacheEvent(1, True, ask.chain.digests[0])
+        router.view.on_cache_events("a", 1, [event], 0)
+        for item in router.decide(ask).candidates:
+            self.assertEqual(item.known_level, 0)
+
+    def test_answer_of_a_dead_incarnation_teaches_nothing(self):
+        router = Router()
+        decided = router.decide(router.ask())
+        router.policy.sent(decided, router.now)
+        router.report(decided.choice.replica, incarnation=2)
+        router.policy.answered(decided, 12_000, router.now)
+        for item in router.decide(router.ask()).candidates:
+            self.assertEqual(item.known_level, 0)
+
+    def test_customers_and_versions_share_nothing(self):
+        router = Router()
+        router.serve(router.ask())
+        other = router.decide(router.ask(customer="two"))
+        self.assertEqual(other.choice.known_level, 0)
+        for name in NAMES:
+            router.report(name, version="v2")
+        newer = router.decide(router.ask(version="v2"))
+        self.assertEqual(newer.choice.known_level, 0)
+
+    def test_wrong_version_draining_and_leaving_get_no_work(self):
+        router = Router()
+        router.report("a", version="v2")
+        router.now += 1
+        router.report("b", draining=True)
+        router.view.set_leaving(frozenset({"c"}))
+        self.assertTrue(router.policy.decide(router.ask(), 101.0).is_err())
+
+    def test_failed_replica_is_ejected_and_comes_back_slowly(self):
+        router = Router()
+        router.view.failed("a", at_once=True)
+        names = {i.replica for i in router.decide(router.ask()).candidates}
+        self.assertEqual(names, {"b", "c"})
+        router.now += 1.5
+        back = router.decide(router.ask()).candidates
+        penalty = {i.replica: i.penalty_s for i in back}
+        self.assertGreater(penalty["a"], 0.5)
+        self.assertEqual(penalty["b"], 0.0)
+
+    def test_gap_makes_entries_doubtful_not_gone(self):
+        router = Router()
+        ask = router.ask()
+        digest = ask.chain.digests[0]
+        first = [config.CacheEvent(1, True, digest)]
+        router.view.on_cache_events("a", 1, first, 0)
+        sure = router.view.views["a"].survival(router.now - 10, router.now)
+        for sequence in range(10, 200, 10):
+            event = config.CacheEvent(sequence, True, sequence)
+            router.view.on_cache_events("a", 1, [event], sequence - 10)
+        doubt = router.view.views["a"].survival(router.now - 10, router.now)
+        self.assertLess(doubt, sure)
+        self.assertGreater(doubt, 0.5)
+
+    def test_kept_prefix_is_imported_when_that_is_quicker(self):
+        router = Router()
+        ask = router.ask(kept_tokens=12_000, kept_rate=40_000.0)
+        self.assertTrue(router.decide(ask).choice.imports)
+        slow = router.ask(kept_tokens=12_000, kept_rate=4_000.0)
+        self.assertFalse(router.decide(slow).choice.imports)
+
+
+class HerdTest(unittest.TestCase):
+    """Seven routers act on one report that shows one replica idle."""
+
+    def share(self, policy):
+        names = tuple(f"replica-{index}" for index in range(8))
+        chosen = collections.Counter()
+        routers = [Router(policy, seed, names) for seed in range(7)]
+        for router in routers:
+            for name in names:
+                router.report(name, 0.0 if name == names[0] else 400.0)
+        for number in range(10):
+            for index, router in enumerate(routers):
+                ask = router.ask(f"{number}/{index}".encode() * 4000)
+                decided = router.decide(ask)
+                chosen[decided.choice.replica] += 1
+                router.policy.sent(decided, router.now)
+                if policy == "predictive":
+                    self.tell(routers, router, decided)
+        return chosen[names[0]] / sum(chosen.values())
+
+    def tell(self, routers, sender, decided):
+        tokens = float(decided.ask.chain.total_tokens)
+        choice = decided.choice
+        sender.view.views[choice.replica].load.sent(tokens, 1, sender.now)
+        for router in routers:
+            if router is not sender:
+                router.view.on_notice(choice.replica, 1, "one", (), tokens, 1)
+
+    def test_naive_policy_herds_and_ours_does_not(self):
+        self.assertEqual(self.share("least_loaded"), 1.0)
+        self.assertLess(self.share("predictive"), 0.4)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/routing/test_limits.py
@@ -0,0 +1,109 @@
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from bergamotmill.routing import limits
+from bergamotmill.routing import retry_budget
+
+LIMIT = 30.0
+ROUTERS = 3
+
+
+class LimitsMachine(stateful.RuleBasedStateMachine):
+    """Three routers share a limit; messages may be lost at any point."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.routers = [
+            limits.Limits(lambda name: 1 / ROUTERS) for _ in range(ROUTERS)
+        ]
+        self.taken = 0
+
+    @stateful.rule(seconds=strategies.floats(0.01, 4.0))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(
+        index=strategies.integers(0, 2), count=strategies.integers(1, 40)
+    )
+    def take(self, index, count):
+        for _ in range(count):
+            wait = self.routers[index].try_take("c", "k", LIMIT, self.now)
+            self.taken += wait == 0.0
+
+    @stateful.rule(
+        lender=strategies.integers(0, 2),
+        borrower=strategies.integers(0, 2),
+        lost=strategies.booleans(),
+    )
+    def borrow(self, lender, borrower, lost):
+        if lender == borrower:
+            return
+        loan = self.routers[lender].lend("c", "k", LIMIT, 10.0, self.now)
+        if not lost:
+            self.routers[borrower].borrow("c", "k", LIMIT, loan, self.now)
+
+    @stateful.invariant()
+    def parts_never_exceed_the_limit(self):
+        rates = [r.rate("c", "k", LIMIT, self.now) for r in self.routers]
+        assert sum(rates) <= LIMIT + 1e-6, rates
+
+    @stateful.invariant()
+    def what_was_taken_is_bounded(self):
+        # Each router's burst is at most what it may hold at once: all.
+        bound = LIMIT * self.now + ROUTERS * LIMIT * limits.BURST_S
+        assert self.taken <= bound + 1e-6
+
+
+LimitsTest = LimitsMachine.TestCase
+LimitsTest.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30, derandomize=True, deadline=None
+)
+
+
+class LoanTest(unittest.TestCase):
+    def test_busy_router_lends_nothing_and_idle_one_does(self):
+        own = limits.Limits(lambda name: 0.5)
+        idle = own.lend("c", "k", LIMIT, 100.0, 0.0)
+        self.assertAlmostEqual(idle.rate, LIMIT / 4)
+        busy = limits.Limits(lambda name: 0.5)
+        for _ in range(15):
+            busy.try_take("c", "k", LIMIT, 0.0)
+        self.assertEqual(busy.lend("c", "k", LIMIT, 100.0, 0.0).rate, 0.0)
+
+
+class RetryStormTest(unittest.TestCase):
+    """An outage of five seconds; does the load come back to normal?"""
+
+    def queue_after(self, with_budget):
+        capacity, arrivals, patience = 10, 7, 1
+        budget = retry_budget.RetryBudget(0.0)
+        budget._saved = 0.0
+        queue, retries = 0.0, []
+        for second in range(120):
+            served = 0 if second < 5 else capacity
+            offered = arrivals + (retries.pop(0) if retries else 0)
+            for _ in range(arrivals):
+                budget.first_attempt()
+            queue += offered
+            # Work whose caller has given up is done all the same.
+            late = max(0, queue - capacity * patience)
+            queue = max(0.0, queue - served)
+            wanted = int(min(late, offered))
+            if with_budget:
+                wanted = sum(
+                    budget.try_retry(float(second)) for _ in range(wanted)
+                )
+            retries.append(wanted)
+        return queue
+
+    def test_storm_lasts_without_a_budget_and_ends_with_one(self):
+        self.assertGreater(self.queue_after(False), 100)
+        self.assertLess(self.queue_after(True), 15)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/routing/test_locations.py
@@ -0,0 +1,86 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bergamotmill.routing import locations
+
+
+class LocationsTest(unittest.TestCase):
+    def setUp(self):
+        self.index = locations.Locations(max_entries=100)
+        for name in ("a", "b"):
+            self.index.invalidate(name)
+
+    def holders(self, digest, owner="one"):
+        return sorted(name for name, _ in self.index.holders(owner, digest))
+
+    def test_invalidate_voids_only_that_replica(self):
+        self.index.learn("one", 7, "a", 1.0)
+        self.index.learn("one", 7, "b", 1.0)
+        self.index.invalidate("a")
+        self.assertEqual(self.holders(7), ["b"])
+        self.assertIsNone(self.index.stamp(7, "a"))
+
+    def test_entry_of_another_customer_is_never_given(self):
+        self.index.learn("one", 7, "a", 1.0)
+        self.assertEqual(self.holders(7, "two"), [])
+        self.index.learn("two", 7, "b", 2.0)
+        self.assertEqual(self.holders(7, "two"), ["b"])
+        self.assertEqual(self.holders(7, "one"), [])
+
+    def test_unknown_replica_is_not_learned(self):
+        self.index.learn("one", 7, "gone", 1.0)
+        self.assertEqual(self.holders(7), [])
+
+    def test_memory_is_bounded_and_oldest_goes(self):
+        for digest in range(150):
+            self.index.learn("one", digest, "a", float(digest))
+        self.assertEqual(len(self.index), 100)
+        self.assertEqual(self.holders(0), [])
+        self.assertEqual(self.holders(149), ["a"])
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(["learn", "forget", "invalidate"]),
+                strategies.integers(0, 3),
+                strategies.sampled_from(["a", "b"]),
+            )
+        )
+    )
+    def test_agrees_with_a_plain_model(self, steps):
+        index = locations.Locations()
+        model = set()
+        for name in ("a", "b"):
+            index.invalidate(name)
+        for action, digest, name in steps:
+            if action == "learn":
+                index.learn("one", digest, name, 0.0)
+                model.add((digest, name))
+            elif action == "forget":
+                index.forget(digest, name)
+                model.discard((digest, name))
+            else:
+                index.invalidate(name)
+                model = {item for item in model if item[1] != name}
+        for digest in range(4):
+            found = {name for name, _ in index.holders("one", digest)}
+            self.assertEqual(
+                found, {name for item, name in model if item == digest}
+            )
+
+
+class HorizonTest(unittest.TestCase):
+    def test_learns_in_both_directions(self):
+        horizon = locations.Horizon()
+        first = horizon.seconds
+        horizon.gone(5.0)
+        self.assertLess(horizon.seconds, first)
+        shorter = horizon.seconds
+        horizon.found(60.0)
+        self.assertGreater(horizon.seconds, shorter)
+
+
+if __name__ == "__main__":
+    unittest.main()
