Tests of filings and streams; an answer of other weights is never resumed

Cause: found by a test. An engine that ignored the wanted version had its answer cut, and the recovery then resumed that same stream without looking at its version, so that other weights reached the caller. A stream taken over by a router with a newer release could have gone on with newer weights. In the memory network, servers ran as the host of whoever connected, so that cuts did not hold for them. Change: a wrong target is cancelled and left; resumed streams must have the version and incarnation of their beginning; event ids name the version.

--- a/bergamotmill/standin/engine.py
+++ b/bergamotmill/standin/engine.py
@@ -27,11 +27,13 @@
     Attributes:
         ignore_fencing: takes orders with old fencing numbers.
         ignore_target: serves whatever version a request expects.
+        ignore_orders: answers orders and does nothing.
         crossed_answers: answers carry another request's id.
     """
 
     ignore_fencing: bool = False
     ignore_target: bool = False
+    ignore_orders: bool = False
     crossed_answers: bool = False
 
 
@@ -264,6 +266,9 @@
 
     def _order(self, exchange: http_server.Exchange) -> None:
         order = json.loads(exchange.request.body)
+        if self.faults.ignore_orders:
+            exchange.respond_json(200, {})
+            return
         fencing = int(order.get("fencing", 0))
         if fencing < self._fencing and not self.faults.ignore_fencing:
             self._refuse(exchange, 412, f"fencing number below {self._fencing}")
--- a/bergamotmill/streams/generator.py
+++ b/bergamotmill/streams/generator.py
@@ -166,7 +166,8 @@
                 err,
             )
             return None
-        if stream.head.incarnation != where.replica_incarnation:
+        found = (stream.head.incarnation, stream.head.version)
+        if found != (where.replica_incarnation, where.version):
             stream.close()
             return None
         return stream
@@ -195,7 +196,11 @@
         events: tuple[bytes, ...],
         stream: object | None,
     ) -> stream_pump.Pump:
-        request = dataclasses.replace(request, request_id=where.request_id)
+        # A stream goes on with the weights it began with.
+        model = dataclasses.replace(request.model, serving=where.version)
+        request = dataclasses.replace(
+            request, request_id=where.request_id, model=model
+        )
         journal = self._shared.journals.open(
             where.request_id, request.customer.name
         )
--- a/bergamotmill/streams/pump.py
+++ b/bergamotmill/streams/pump.py
@@ -223,6 +223,10 @@
         self._decision = decision
         self._replica = decision.choice.replica
         link = self._shared.links.get(self._replica)
+        if link is None:
+            raise errors.UpstreamError(
+                errors.Failure.CONNECT, "withdrawn meanwhile", sent=False
+            )
         call = self._call_of(decision)
         self._tracker.sending()
         self._shared.sent(decision)
@@ -273,6 +277,7 @@
             self._shared.incarnation,
             self._replica,
             replica_incarnation,
+            self._request.model.served_version,
         ).token(self._shared.fleet_key, self._request.customer.name)
         self._numbering.set_token(token)
 
@@ -388,7 +393,9 @@
             return self._pass_on(err)
         if resumes > const.MAX_RESUMES:
             return self._give_up(err)
-        if err.sent and err.ran and await self._resume_here():
+        if err.failure is errors.Failure.WRONG_TARGET:
+            await self._cancel_upstream()
+        elif err.sent and err.ran and await self._resume_here():
             return None
         return self._go_elsewhere(err)
 
@@ -402,16 +409,22 @@
             self._stream = await link.resume(self._request.request_id, seen)
         except errors.UpstreamError:
             return False
-        if self._decision is not None:
-            incarnation = self._decision.choice.incarnation
-            if self._stream.head.incarnation != incarnation:
-                self._stream.close()
-                self._stream = None
-                return False
+        if not self._is_same(self._stream.head):
+            self._stream.close()
+            self._stream = None
+            return False
         self._shared.metrics.count("streams.resumed")
         self._set_prefix(self._stream.head.incarnation)
         return True
 
+    def _is_same(self, head: config.StreamHead) -> bool:
+        """Whether a resumed stream has the weights of its beginning."""
+        if head.version != self._request.model.served_version:
+            return False
+        if self._decision is None:
+            return True
+        return head.incarnation == self._decision.choice.incarnation
+
     def _go_elsewhere(
         self, err: errors.UpstreamError
     ) -> refusal.Refusal | None:
--- a/bergamotmill/streams/stream_id.py
+++ b/bergamotmill/streams/stream_id.py
@@ -20,6 +20,7 @@
     router_incarnation: int
     replica: str
     replica_incarnation: int
+    version: str
 
     def token(self, fleet_key: str, customer: str) -> str:
         """Returns the signed form."""
@@ -34,6 +35,7 @@
                 str(self.router_incarnation),
                 self.replica,
                 str(self.replica_incarnation),
+                self.version,
             )
         )
 
@@ -45,13 +47,18 @@
     token, _, seen = event_id.rpartition(":")
     text, _, mac = token.rpartition("~")
     parts = text.split("~")
-    if len(parts) != 5 or not seen.isdecimal():
+    if len(parts) != 6 or not seen.isdecimal():
         return None
     if mac != _mac(text, fleet_key, customer):
         return None
     try:
         found = StreamId(
-            parts[0], parts[1], int(parts[2]), parts[3], int(parts[4])
+            parts[0],
+            parts[1],
+            int(parts[2]),
+            parts[3],
+            int(parts[4]),
+            parts[5],
         )
     except ValueError:
         return None
--- a/bergamotmill/util/memory_network.py
+++ b/bergamotmill/util/memory_network.py
@@ -22,8 +22,16 @@
 class _End(asyncio.Transport):
     """One end of a connection."""
 
-    def __init__(self, network: "MemoryNetwork", host: str, protocol: Any):
+    def __init__(
+        self,
+        network: "MemoryNetwork",
+        host: str,
+        protocol: Any,
+        context: contextvars.Context,
+    ):
         super().__init__()
+        # Callbacks run as the end's own host, and so do tasks they start.
+        self.context = context
         self._network = network
         self.host = host
         self.protocol = protocol
@@ -69,13 +77,17 @@
             self._writer_paused = True
             self.protocol.pause_writing()
         delay = self._network.delay(self.host, peer.host)
-        asyncio.get_running_loop().call_later(delay, peer._deliver)
+        asyncio.get_running_loop().call_later(
+            delay, peer._deliver, context=peer.context
+        )
 
     def _deliver(self) -> None:
         if not self._reading or self._lost:
             return
         if not self._network.connected(self.host, self.peer.host):
-            asyncio.get_running_loop().call_later(0.05, self._deliver)
+            asyncio.get_running_loop().call_later(
+                0.05, self._deliver, context=self.context
+            )
             return
         while self._inbox and self._reading and not self._lost:
             item = self._inbox.popleft()
@@ -97,7 +109,9 @@
     def resume_reading(self) -> None:
         """Delivers what was kept."""
         self._reading = True
-        asyncio.get_running_loop().call_soon(self._deliver)
+        asyncio.get_running_loop().call_soon(
+            self._deliver, context=self.context
+        )
 
     def close(self) -> None:
         """Closes both ends after what was written."""
@@ -106,7 +120,9 @@
         self._closing = True
         if not self.silent and not self._lost:
             self._send(None)
-        asyncio.get_running_loop().call_soon(self._end, None)
+        asyncio.get_running_loop().call_soon(
+            self._end, None, context=self.context
+        )
 
     def abort(self) -> None:
         """Closes both ends."""
@@ -116,7 +132,7 @@
         """Ends this side with an error."""
         self._closing = True
         asyncio.get_running_loop().call_soon(
-            self._end, ConnectionResetError(reason)
+            self._end, ConnectionResetError(reason), context=self.context
         )
 
     def _end(self, error: Exception | None) -> None:
@@ -150,7 +166,9 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
-        self.servers: dict[tuple[str, int], Callable[[], Any]] = {}
+        self.servers: dict[
+            tuple[str, int], tuple[Callable[[], Any], contextvars.Context]
+        ] = {}
         self.ends: dict[_End, None] = {}
         self._cut: set[frozenset[str]] = set()
         self._dead: set[str] = set()
@@ -211,13 +229,15 @@
         accept = self.servers.get((host, port))
         if accept is None or source in self._dead:
             raise ConnectionRefusedError(f"nothing listens on {host}:{port}")
-        near = _End(self, source, factory())
-        far = _End(self, host, accept())
+        far_factory, far_context = accept
+        own_context = contextvars.copy_context()
+        near = _End(self, source, factory(), own_context)
+        far = _End(self, host, far_context.run(far_factory), far_context.copy())
         near.peer, far.peer = far, near
         self.ends[near] = None
         self.ends[far] = None
         near.protocol.connection_made(near)
-        far.protocol.connection_made(far)
+        far.context.run(far.protocol.connection_made, far)
         return near, near.protocol
 
 
@@ -237,9 +257,7 @@
         """Listens in memory, in the context of the present host."""
         del kwargs
         context = contextvars.copy_context()
-        self.network.servers[(host, port)] = lambda: context.copy().run(
-            protocol_factory
-        )
+        self.network.servers[(host, port)] = (protocol_factory, context)
         return _Server(self.network, (host, port))
 
 
--- /dev/null
+++ b/tests/streams/test_events.py
@@ -0,0 +1,74 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bergamotmill.streams import assemble
+from bergamotmill.streams import events
+from bergamotmill.streams import stream_id
+
+
+class EventsTest(unittest.TestCase):
+    @hypothesis.given(
+        strategies.lists(strategies.integers(0, 10**9), max_size=12),
+        strategies.data(),
+    )
+    def test_any_cut_of_the_bytes_gives_the_same_events(self, values, data):
+        wanted = [events.encode({"v": value}) for value in values]
+        whole = b"".join(wanted)
+        splitter = events.EventSplitter()
+        found = []
+        while whole:
+            size = data.draw(strategies.integers(1, len(whole)))
+            found += splitter.feed(whole[:size])
+            whole = whole[size:]
+        self.assertEqual(found, wanted)
+        self.assertFalse(splitter.partial)
+
+    def test_assembles_text_tools_and_usage(self):
+        def chunk(delta, **more):
+            choice = {"index": 0, "delta": delta, "finish_reason": None}
+            choice.update(more)
+            return events.encode(
+                {
+                    "id": "x",
+                    "object": "chat.completion.chunk",
+                    "choices": [choice],
+                }
+            )
+
+        call = {"index": 0, "id": "c", "function": {"name": "f"}}
+        rest = {"index": 0, "function": {"arguments": "{}"}}
+        raw = [
+            chunk({"role": "assistant", "content": "a"}),
+            chunk({"content": "b"}),
+            chunk({"tool_calls": [call]}),
+            chunk({"tool_calls": [rest]}, finish_reason="stop"),
+            events.encode({"choices": [], "usage": {"total_tokens": 3}}),
+            b"data: [DONE]\n\n",
+        ]
+        whole = assemble.assemble(raw)
+        message = whole["choices"][0]["message"]
+        self.assertEqual(message["content"], "ab")
+        function = message["tool_calls"][0]["function"]
+        self.assertEqual(function, {"name": "f", "arguments": "{}"})
+        self.assertEqual(whole["object"], "chat.completion")
+        self.assertEqual(whole["usage"]["total_tokens"], 3)
+        self.assertTrue(assemble.is_finished(raw))
+
+
+class StreamIdTest(unittest.TestCase):
+    def test_is_bound_to_customer_and_fleet(self):
+        where = stream_id.StreamId("r", "vm-1", 5, "engine-1", 7, "v1")
+        event_id = where.token("key", "one") + ":12"
+        self.assertEqual(stream_id.parse(event_id, "key", "one"), (where, 12))
+        self.assertIsNone(stream_id.parse(event_id, "key", "two"))
+        self.assertIsNone(stream_id.parse(event_id, "other", "one"))
+
+    @hypothesis.given(strategies.text(max_size=60))
+    def test_any_text_is_refused(self, text):
+        self.assertIsNone(stream_id.parse(text, "key", "one"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/streams/test_streams.py
@@ -0,0 +1,221 @@
+import asyncio
+import dataclasses
+import json
+import unittest
+
+from bergamotmill.helpers import http_client
+from bergamotmill.standin import cluster
+from bergamotmill.standin import engine
+from tests import virtual
+
+
+class StreamsTest(virtual.ClusterCase):
+    def serving(self):
+        for index, standin in self.cluster.engines.items():
+            if any(not s.complete for s in standin.streams.values()):
+                return index
+        raise AssertionError("no engine serves")
+
+    async def begin(self, router=0, pause=1.0, tokens=24):
+        task = asyncio.create_task(
+            self.caller.stream(self.chat(tokens), router)
+        )
+        await asyncio.sleep(pause)
+        return task
+
+    def total_runs(self):
+        return sum(len(e.runs) for e in self.cluster.engines.values())
+
+    def test_engine_dies_in_mid_stream_and_the_answer_goes_on(self):
+        async def scenario():
+            task = await self.begin()
+            await self.cluster.crash_engine(self.serving())
+            got = await task
+            self.assert_whole(got)
+            self.assertEqual(got.resumes, 0, "the caller noticed")
+            self.assertEqual(self.count("streams.continued"), 1)
+
+        self.run_cluster(scenario)
+
+    def test_router_dies_in_mid_stream_and_another_resumes(self):
+        async def scenario():
+            task = await self.begin(router=1)
+            await self.cluster.crash_router(1)
+            died = self.now()
+            got = await task
+            self.assert_whole(got)
+            self.assertEqual((got.resumes, got.reruns), (1, 0))
+            self.assertEqual(self.total_runs(), 1, "it was run again")
+            self.assertLess(self.now() - died, 2.0)
+
+        self.run_cluster(scenario)
+
+    def test_router_and_engine_die_together_gives_a_clear_error(self):
+        async def scenario():
+            task = await self.begin(router=1)
+            await self.cluster.crash_router(1)
+            await self.cluster.crash_engine(self.serving())
+            got = await task
+            self.assertFalse(got.whole)
+            self.assertIn("stream_lost", got.error)
+            words = got.text.split()
+            self.assertEqual(words, [f"t{i}" for i in range(len(words))])
+
+        self.run_cluster(scenario)
+
+    def test_silent_engine_connection_is_found_and_resumed(self):
+        async def scenario():
+            task = await self.begin()
+            index = self.serving()
+            host = cluster.engine_host(index)
+            found = self.network.silence(cluster.router_host(0), host)
+            self.assertGreater(found, 0)
+            started = self.now()
+            got = await task
+            self.assert_whole(got)
+            self.assertEqual(self.total_runs(), 1, "it was run again")
+            self.assertLess(self.now() - started, 5.0 + 1.0)
+
+        self.run_cluster(scenario)
+
+    def test_silent_caller_connection_is_resumed_elsewhere(self):
+        async def scenario():
+            task = await self.begin(tokens=60)
+            self.network.silence("10.0.9.9", cluster.router_host(0))
+            got = await task
+            self.assert_whole(got, 60)
+            self.assertGreaterEqual(got.resumes, 1)
+
+        self.run_cluster(scenario)
+
+    def test_crossed_answers_never_reach_a_caller(self):
+        async def scenario():
+            for standin in self.cluster.engines.values():
+                standin.faults = dataclasses.replace(
+                    standin.faults, crossed_answers=True
+                )
+            got = await self.caller.stream(self.chat(), 0)
+            self.assertEqual((got.text, got.whole), ("", False))
+
+        self.run_cluster(scenario)
+
+    def test_answer_of_other_weights_never_reaches_a_caller(self):
+        async def scenario():
+            for standin in self.cluster.engines.values():
+                standin.faults = engine.Faults(
+                    ignore_target=True, ignore_orders=True
+                )
+                standin.models["drafter"]["version"] = "v0"
+            got = await self.caller.stream(self.chat(), 0)
+            self.assertEqual((got.text, got.whole), ("", False))
+
+        self.run_cluster(scenario)
+
+    def test_caller_that_leaves_has_its_stream_cancelled(self):
+        async def scenario():
+            task = await self.begin(tokens=2000)
+            index = self.serving()
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await asyncio.sleep(8.0)
+            streams = self.cluster.engines[index].streams
+            self.assertEqual(streams, {})
+
+        self.run_cluster(scenario)
+
+    def test_slow_caller_hurts_no_one_and_memory_is_bounded(self):
+        async def scenario():
+            pool = http_client.Pool()
+            conn = await pool.acquire(f"{cluster.router_host(0)}:80")
+            headers = [(b"authorization", b"Bearer key-of-one")]
+            body = json.dumps(self.chat(tokens=3000)).encode()
+            await conn.request("POST", "/v1/chat/completions", headers, body)
+            conn._transport.pause_reading()
+            await asyncio.sleep(20.0)
+            self.assert_whole(await self.caller.stream(self.chat(), 0))
+            self.assertLess(conn._transport._inbox_bytes, 400_000)
+            conn.close()
+
+        self.run_cluster(scenario)
+
+    def test_another_customer_cannot_resume_the_stream(self):
+        async def scenario():
+            task = await self.begin()
+            request_id = next(iter(self.cluster.routers[0].streams.pumps))
+            pump = self.cluster.routers[0].streams.pumps[request_id]
+            line = pump._numbering.line(1, b"")
+            headers = [(b"last-event-id", line[4:].strip())]
+            got = await self.other.stream(self.chat(), 1, headers)
+            self.assertEqual(got.text, "")
+            self.assertIn("invalid_request", got.error)
+            self.assert_whole(await task)
+
+        self.run_cluster(scenario)
+
+    def test_whole_answer_survives_an_engine(self):
+        async def scenario():
+            pool = http_client.Pool()
+            body = {**self.chat(), "stream": False}
+            call = asyncio.create_task(
+                http_client.fetch(
+                    pool,
+                    f"{cluster.router_host(0)}:80",
+                    "POST",
+                    "/v1/chat/completions",
+                    [(b"authorization", b"Bearer key-of-one")],
+                    json.dumps(body).encode(),
+                    timeout_s=30.0,
+                )
+            )
+            await asyncio.sleep(1.0)
+            await self.cluster.crash_engine(self.serving())
+            head, answer = await call
+            self.assertEqual(head.status, 200)
+            message = json.loads(answer)["choices"][0]["message"]
+            wanted = "".join(f"t{index} " for index in range(24))
+            self.assertEqual(message["content"], wanted)
+
+        self.run_cluster(scenario)
+
+    def test_graceful_shutdown_cuts_no_request(self):
+        async def scenario():
+            task = await self.begin(router=1, tokens=200)
+            router = self.cluster.routers[1]
+            host = cluster.router_host(1)
+            leaving = asyncio.create_task(
+                self.cluster.as_host(host, router.shut_down())
+            )
+            await asyncio.sleep(1.0)
+            answer = await self.caller.get_json("/v1/addresses", 0)
+            self.assertNotIn(f"{host}:80", answer["addresses"])
+            ready = await self.caller.get_json("/ready", 1)
+            self.assertFalse(ready["ready"])
+            # A caller with an old answer is still served.
+            late = await self.caller.stream(self.chat(), 1)
+            self.assert_whole(late)
+            got = await task
+            self.assert_whole(got, 200)
+            self.assertEqual(got.resumes, 0)
+            self.assertTrue(await leaving)
+
+        self.run_cluster(scenario)
+
+    def test_leaving_engine_gets_no_new_work(self):
+        async def scenario():
+            await self.caller.stream(self.chat(), 0)
+            busy = max(
+                self.cluster.engines,
+                key=lambda index: len(self.cluster.engines[index].runs),
+            )
+            self.cluster.vm_list.set_state(f"engine-{busy}", "leaving")
+            await asyncio.sleep(3.0)
+            before = len(self.cluster.engines[busy].runs)
+            for index in range(6):
+                self.assert_whole(await self.caller.stream(self.chat(), index))
+            self.assertEqual(len(self.cluster.engines[busy].runs), before)
+
+        self.run_cluster(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
