--- a/bergamotmill/control/note_schema.py
+++ b/bergamotmill/control/note_schema.py
@@ -104,7 +104,11 @@
 }
 
 
-def _entries() -> dict[str, Any]:
+def _without_required(entry: dict[str, Any]) -> dict[str, Any]:
+    return {**entry, "required": []}
+
+
+def _entries(entries: dict[str, dict[str, Any]]) -> dict[str, Any]:
     return schema.section(
         {
             kind: {
@@ -112,16 +116,19 @@
                 "propertyNames": schema.NAME,
                 "additionalProperties": entry,
             }
-            for kind, entry in ENTRIES.items()
+            for kind, entry in entries.items()
         }
     )
 
 
+# A change names only the fields that differ.
+_CHANGES = {kind: _without_required(entry) for kind, entry in ENTRIES.items()}
+
 NOTE = schema.section(
     {
         "title": {"type": "string", "minLength": 1, "maxLength": 200},
-        "added": _entries(),
-        "changed": _entries(),
+        "added": _entries(ENTRIES),
+        "changed": _entries(_CHANGES),
         "withdrawn": schema.section(dict.fromkeys(ENTRIES, _NAMES)),
     },
     ("title",),
--- /dev/null
+++ b/tests/control/test_fleet.py
@@ -0,0 +1,234 @@
+import asyncio
+import unittest
+
+from bergamotmill.standin import cluster
+from tests import virtual
+
+SEVEN = cluster.Sizes(routers=7, engines=3, services=1, data_centres=3)
+
+
+def change(version):
+    return {
+        "title": f"to {version}",
+        "changed": {"customers": {"one": {"share": float(version)}}},
+    }
+
+
+class FleetTest(virtual.ClusterCase):
+    def numbers(self):
+        return {
+            index: router.distribution.number
+            for index, router in self.cluster.routers.items()
+        }
+
+    async def until_in_force(self, number, limit=4.0):
+        started = self.now()
+        while set(self.numbers().values()) != {number}:
+            await asyncio.sleep(0.05)
+            self.assertLess(self.now() - started, limit, self.numbers())
+        return self.now() - started
+
+    def test_release_is_in_force_everywhere_in_seconds(self):
+        async def scenario():
+            for number in (2, 3, 4):
+                await self.cluster.publish(change(number), number)
+                await self.until_in_force(number)
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_a_fifth_of_messages_lost(self):
+        async def scenario():
+            self.cluster.bus.loss = 0.2
+            for number in range(2, 8):
+                await self.cluster.publish(change(number), number % 7)
+                await self.until_in_force(number)
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_readers_killed_at_the_moment_of_publishing(self):
+        async def scenario():
+            readers = [
+                index
+                for index, router in self.cluster.routers.items()
+                if router.distribution.reading
+            ]
+            publisher = next(
+                index
+                for index in self.cluster.routers
+                if index not in readers[:2]
+            )
+            await self.cluster.publish(change(2), publisher)
+            for index in readers[:2]:
+                await self.cluster.crash_router(index)
+            await self.until_in_force(2)
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_cut_off_router_keeps_its_release_and_then_catches_up(self):
+        async def scenario():
+            own = cluster.router_host(0)
+            others = [cluster.router_host(index) for index in range(1, 7)]
+            for host in [*others, cluster.KEY_VALUE_HOST]:
+                self.network.cut(own, host)
+            await self.cluster.publish(change(2), 1)
+            await asyncio.sleep(20.0)
+            self.assertEqual(self.numbers()[0], 1)
+            self.assert_whole(await self.caller.stream(self.chat(), 0))
+            self.network.heal()
+            await self.until_in_force(2, 12.0)
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_restart_with_the_key_value_service_down(self):
+        async def scenario():
+            self.cluster.key_value.set_down(True)
+            await self.cluster.crash_router(1)
+            await self.cluster.start_router(1)
+            started = self.now()
+            await self.until_in_force(1, 2.0)
+            self.assertLess(self.now() - started, 2.0)
+            await asyncio.sleep(1.0)
+            self.assert_whole(await self.caller.stream(self.chat(), 1))
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_all_restart_while_the_service_is_down(self):
+        async def scenario():
+            self.cluster.key_value.set_down(True)
+            for index in range(7):
+                await self.cluster.crash_router(index)
+            for index in range(7):
+                await self.cluster.start_router(index)
+            await asyncio.sleep(5.0)
+            self.assertEqual(set(self.numbers().values()), {0})
+            answer = await self.caller.get_json("/v1/models", 0)
+            self.assertEqual(answer["error"]["run"], "not_run")
+            self.assertFalse((await self.caller.get_json("/ready"))["ready"])
+            self.assertTrue((await self.caller.get_json("/live"))["live"])
+            self.cluster.key_value.set_down(False)
+            await self.until_in_force(1, 5.0)
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_restart_herd_spares_the_service(self):
+        async def scenario():
+            before = self.cluster.key_value.store.reads
+            for index in range(7):
+                await self.cluster.crash_router(index)
+            for index in range(7):
+                await self.cluster.start_router(index)
+            await self.until_in_force(1, 4.0)
+            reads = self.cluster.key_value.store.reads - before
+            self.assertLess(reads, 7 * 30)
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_dead_router_drops_out_of_the_address_answers(self):
+        async def scenario():
+            await self.cluster.crash_router(2)
+            await asyncio.sleep(10.0)
+            gone = f"{cluster.router_host(2)}:80"
+            for index in (0, 1, 3, 4, 5, 6):
+                answer = await self.caller.get_json("/v1/addresses", index)
+                self.assertNotIn(gone, answer["addresses"])
+                self.assertEqual(len(answer["addresses"]), 6)
+            await self.cluster.start_router(2)
+            await asyncio.sleep(6.0)
+            answer = await self.caller.get_json("/v1/addresses", 0)
+            self.assertIn(gone, answer["addresses"])
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_false_suspicion_is_answered(self):
+        async def scenario():
+            for host in range(1, 7):
+                self.network.cut(
+                    cluster.router_host(0), cluster.router_host(host)
+                )
+            await asyncio.sleep(10.0)
+            alive = self.cluster.routers[3].membership.alive()
+            self.assertEqual(len(alive), 6)
+            self.network.heal()
+            await asyncio.sleep(12.0)
+            for router in self.cluster.routers.values():
+                self.assertEqual(len(router.membership.alive()), 7)
+            incarnations = {
+                router.membership.known["vm-0"].incarnation
+                for router in self.cluster.routers.values()
+            }
+            self.assertEqual(len(incarnations), 1)
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_data_centre_lost_and_back(self):
+        async def scenario():
+            lost = [index for index in range(7) if index % 3 == 1]
+            for index in lost:
+                await self.cluster.crash_router(index)
+            await asyncio.sleep(12.0)
+            for index in self.cluster.routers:
+                alive = self.cluster.routers[index].membership.alive()
+                self.assertEqual(len(alive), 7 - len(lost))
+            await self.cluster.publish(change(2), 0)
+            await self.until_in_force(2)
+            for index in lost:
+                await self.cluster.start_router(index)
+            await self.until_in_force(2)
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_version_switch_serves_throughout_and_never_goes_back(self):
+        async def scenario():
+            note = {
+                "title": "v2",
+                "changed": {"models": {"drafter": {"version": "v2"}}},
+            }
+            await self.cluster.publish(note, 0)
+            served = []
+            for _ in range(30):
+                got = await self.caller.stream(self.chat(4, "short"), 1)
+                self.assert_whole(got, 4)
+                model = self.cluster.routers[1].configuration().models
+                served.append(model["drafter"].served_version)
+            self.assertEqual(served, sorted(served))
+            self.assertEqual(served[-1], "v2")
+            for standin in self.cluster.engines.values():
+                self.assertEqual(standin.models["drafter"]["version"], "v2")
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_empty_engine_gets_its_weights_again_at_night(self):
+        async def scenario():
+            await self.cluster.crash_engine(0)
+            await asyncio.sleep(2.0)
+            await self.cluster.start_engine(0, {})
+            await asyncio.sleep(10.0)
+            held = self.cluster.engines[0].models["drafter"]
+            self.assertEqual((held["version"], held["state"]), ("v1", "ready"))
+
+        self.run_cluster(scenario, SEVEN)
+
+    def test_limit_is_shared_and_lent(self):
+        async def scenario():
+            limits = {"customers": {"one": {"limits": {"review": 14.0}}}}
+            await self.cluster.publish({"title": "l", "changed": limits}, 0)
+            await self.until_in_force(2)
+            await asyncio.sleep(1.0)
+            served = 0
+            for _ in range(100):
+                status = await self.small_request(0)
+                served += status == 200
+                await asyncio.sleep(0.1)
+            # One router's own part is 2 a second; the others lend half.
+            self.assertGreater(served, 10 * 2.5)
+            self.assertLess(served, 14 * 10 + 14)
+
+        self.run_cluster(scenario, SEVEN)
+
+    async def small_request(self, index):
+        got = await self.caller.stream(self.chat(1, "short"), index)
+        return 200 if got.whole and got.reruns == 0 else 429
+
+
+if __name__ == "__main__":
+    unittest.main()
