Tests with real processes: an ordinary client, kills, stops, signals

Change: routers, engines and services as processes on loopback; the openai client streaming and not; an engine killed and one stopped in mid-stream; a filing whose owner is killed; graceful and doubled shutdown signals; the command line's exit codes.

--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,202 @@
+"""The system as real processes over real sockets, killed and stopped."""
+
+import json
+import signal
+import threading
+import time
+import unittest
+from unittest import mock
+
+import openai
+
+from bergamotmill.cli import main as cli
+from tests import processes
+
+
+class ProcessesTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.system = processes.System()
+        cls.addClassCleanup(cls.system.close)
+        cls.system.start()
+
+    def client(self, index=0, key="key"):
+        address = self.system.routers[index]["front"]
+        return openai.OpenAI(
+            base_url=f"http://{address}/v1", api_key=key, max_retries=0
+        )
+
+    def words(self, count):
+        return "".join(f"t{index} " for index in range(count))
+
+    def stream(self, tokens, index=0, on_first=None):
+        text = ""
+        for chunk in self.client(index).chat.completions.create(
+            model="m",
+            messages=[{"role": "user", "content": "hello " * 2000}],
+            max_tokens=tokens,
+            stream=True,
+        ):
+            for choice in chunk.choices:
+                text += choice.delta.content or ""
+            if on_first is not None:
+                on_first()
+                on_first = None
+        return text
+
+    def test_ordinary_client_works_by_changing_its_base_url(self):
+        client = self.client()
+        whole = client.chat.completions.create(
+            model="m",
+            messages=[{"role": "user", "content": "hello"}],
+            max_tokens=5,
+        )
+        self.assertEqual(whole.choices[0].message.content, self.words(5))
+        self.assertEqual(whole.usage.completion_tokens, 5)
+        self.assertEqual(self.stream(6), self.words(6))
+        text = client.completions.create(model="m", prompt="x", max_tokens=3)
+        self.assertEqual(text.choices[0].text, self.words(3))
+        parts = client.completions.create(
+            model="m", prompt="x", max_tokens=3, stream=True
+        )
+        found = "".join(c.text for part in parts for c in part.choices)
+        self.assertEqual(found, self.words(3))
+        self.assertEqual([item.id for item in client.models.list()], ["m"])
+
+    def test_errors_map_to_the_clients_own_exceptions(self):
+        with self.assertRaises(openai.AuthenticationError):
+            self.client(key="wrong").models.list()
+        with self.assertRaises(openai.NotFoundError):
+            self.client().chat.completions.create(
+                model="nope", messages=[{"role": "user", "content": "x"}]
+            )
+        with self.assertRaises(openai.BadRequestError) as caught:
+            self.client().chat.completions.create(model="m", messages=[])
+        self.assertEqual(caught.exception.param, "messages")
+
+    def test_engine_killed_in_mid_stream(self):
+        killed = []
+
+        def kill():
+            busy = self.busy_engine()
+            killed.append(busy)
+            self.system.kill(f"engine-{busy}")
+
+        try:
+            self.assertEqual(self.stream(40, 0, kill), self.words(40))
+        finally:
+            for index in killed:
+                address = self.system.engines[index]
+                self.system.start_engine(index, address)
+            self.system.until(self.system.engines_seen, "engines")
+
+    def test_engine_stopped_in_mid_stream_goes_silent(self):
+        stopped = []
+
+        def stop():
+            busy = self.busy_engine()
+            stopped.append(busy)
+            self.system.signal(f"engine-{busy}", signal.SIGSTOP)
+
+        try:
+            self.assertEqual(self.stream(40, 0, stop), self.words(40))
+        finally:
+            for index in stopped:
+                self.system.signal(f"engine-{index}", signal.SIGCONT)
+
+    def busy_engine(self):
+        for index, address in enumerate(self.system.engines):
+            _, report = self.system.http(address, "/v1/report")
+            if report.get("running"):
+                return index
+        raise AssertionError("no engine is busy")
+
+    def test_filing_through_another_router_and_after_its_owner_died(self):
+        owner = self.system.routers[1]["front"]
+        _, answer = self.system.http(owner, "/v1/addresses")
+        key = answer["filing_token"] + ".f1"
+        headers = [("idempotency-key", key)]
+        target = "/services/registry/records"
+        first = self.system.routers[0]["front"]
+        results = [
+            self.system.http(address, target, "key", b"{}", headers)
+            for address in (first, owner, first)
+        ]
+        self.assertEqual([status for status, _ in results], [201] * 3)
+        self.assertEqual(results[0], results[2])
+        self.system.kill("vm-1")
+        status, answer = self.system.http(first, target, "key", b"{}", headers)
+        self.assertEqual(answer["error"]["code"], "outcome_unknown")
+        self.system.start_router(1)
+        self.system.until(lambda: self.system.ready(1), "ready")
+        self.system.until(self.system.engines_seen, "members")
+        status, answer = self.system.http(owner, target, "key", b"{}", headers)
+        self.assertEqual(answer["error"]["code"], "outcome_unknown")
+        self.assertEqual(status, 502)
+
+    def test_graceful_shutdown_ends_streams_and_exits_with_0(self):
+        result = []
+        started = threading.Event()
+        thread = threading.Thread(
+            target=lambda: result.append(self.stream(60, 1, started.set))
+        )
+        thread.start()
+        started.wait(20)
+        process = self.system.processes["vm-1"]
+        process.send_signal(signal.SIGTERM)
+        thread.join(30)
+        self.assertEqual(result, [self.words(60)])
+        self.assertEqual(process.wait(30), 0)
+        self.system.processes.pop("vm-1")
+        self.system.start_router(1)
+        self.system.until(lambda: self.system.ready(1), "ready")
+        self.system.until(self.system.engines_seen, "members")
+
+    def test_second_signal_ends_at_once(self):
+        started = threading.Event()
+
+        def call():
+            try:
+                self.stream(400, 1, started.set)
+            except openai.APIError:
+                pass
+            except Exception:
+                pass
+
+        thread = threading.Thread(target=call)
+        thread.start()
+        started.wait(20)
+        process = self.system.processes.pop("vm-1")
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(30), 1)
+        thread.join(30)
+        self.system.start_router(1)
+        self.system.until(lambda: self.system.ready(1), "ready")
+        self.system.until(self.system.engines_seen, "members")
+
+    def test_operators_command_line(self):
+        address = self.system.routers[0]["operators"]
+        settings = self.system.folder / "vm-0.json"
+        self.assertEqual(cli.main(["check", str(settings)]), 0)
+        note = self.system.folder / "note.json"
+        note.write_text(json.dumps({"title": "x", "changed": {"modls": {}}}))
+        with mock.patch.dict("os.environ", {cli.ENV_KEY: "operator"}):
+            base = ["--address", address]
+            for words, status in (
+                (["status"], 0),
+                (["status", "--json"], 0),
+                (["audit"], 0),
+                (["release", "show"], 0),
+                (["release", "check", str(note)], 1),
+                (["release", "publish", str(note), "--json"], 1),
+                (["explain", "nothing"], 1),
+            ):
+                self.assertEqual(cli.main([*words, *base]), status, words)
+            gone = ["status", "--address", "127.0.0.1:1"]
+            self.assertEqual(cli.main(gone), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
