Releases spread under loss: retried and random pushes

Change: a push is tried four times; each router also tells two others at random; suspects stay in the tree; pulls of notes give up after 0.7 s; a probe is tried three times before others are asked.

--- a/bergamotmill/control/const.py
+++ b/bergamotmill/control/const.py
@@ -1,7 +1,8 @@
 """Constants of control; times in seconds."""
 
 PROBE_PERIOD_S = 0.5
-PROBE_TIMEOUT_S = 0.4
+PROBE_TIMEOUT_S = 0.3
+PROBE_TRIES = 3
 RELAYED_PROBES = 2
 SUSPECT_S = 3.0
 OTHER_DATA_CENTRE_EVERY = 4
@@ -16,7 +17,11 @@
 
 READERS_PER_DATA_CENTRE = 2
 RELAY_FANOUT = 8
-PUSH_TIMEOUT_S = 1.0
+# Each router also tells some others drawn at random, as views may differ.
+RANDOM_PUSHES = 2
+PUSH_TIMEOUT_S = 0.3
+PUSH_TRIES = 4
+PULL_NOTES_TIMEOUT_S = 0.7
 PULL_TIMEOUT_S = 5.0
 KEPT_NOTES = 256
 STORED_NOTES = 512
--- a/bergamotmill/control/distribution.py
+++ b/bergamotmill/control/distribution.py
@@ -232,14 +232,16 @@
             number=number, digest=self._configuration.digest, note=data
         )
         request = peer_pb2.PushRequest(sender=root, release=release)
-        for name in self._children(root):
+        receivers = dict.fromkeys(self._children(root))
+        receivers.update(dict.fromkeys(self._drawn()))
+        for name in receivers:
             self._tasks.spawn(self._push_to(name, request))
 
     def _children(self, root: str) -> list[str]:
         """Returns the next routers in the tree that starts at `root`."""
         own = self._membership.own
-        alive = self._membership.alive(own.data_centre)
-        names = {member.name for member in alive} | {own.name, root}
+        near = self._membership.reachable(own.data_centre)
+        names = {member.name for member in near} | {own.name, root}
         order = rendezvous.rank(own.data_centre, names)
         turn = order.index(root)
         order = order[turn:] + order[:turn]
@@ -247,8 +249,24 @@
         first = place * const.RELAY_FANOUT + 1
         return order[first : first + const.RELAY_FANOUT]
 
+    def _drawn(self) -> list[str]:
+        """Returns some routers of the data centre at random."""
+        own = self._membership.own
+        names = [
+            member.name
+            for member in self._membership.reachable(own.data_centre)
+            if member.name != own.name
+        ]
+        count = min(const.RANDOM_PUSHES, len(names))
+        return self._rng.sample(names, count)
+
     async def _push_to(self, name: str, request: peer_pb2.PushRequest) -> None:
-        await self._peers.call(name, "Push", request, const.PUSH_TIMEOUT_S)
+        for _ in range(const.PUSH_TRIES):
+            pushed = await self._peers.call(
+                name, "Push", request, const.PUSH_TIMEOUT_S
+            )
+            if pushed.is_ok():
+                return
 
     async def on_push(
         self, request: peer_pb2.PushRequest
@@ -307,11 +325,15 @@
                 await asyncio.sleep(self._rng.uniform(0.1, 0.3))
 
     async def _pull(self, name: str) -> bool:
+        # Missing notes are small; the whole state may take its time.
+        timeout = const.PULL_NOTES_TIMEOUT_S
+        if self.number == 0:
+            timeout = const.PULL_TIMEOUT_S
         answer = await self._peers.call(
             name,
             "Pull",
             peer_pb2.PullRequest(after_number=self.number),
-            const.PULL_TIMEOUT_S,
+            timeout,
         )
         if answer.is_err():
             return False
--- a/bergamotmill/control/membership.py
+++ b/bergamotmill/control/membership.py
@@ -86,6 +86,19 @@
             and (not data_centre or member.data_centre == data_centre)
         ]
 
+    def reachable(self, data_centre: str) -> list[members.Member]:
+        """Returns routers of a data centre that may well be alive.
+
+        Suspects count: most suspicions are false, and what is sent to a
+        dead router is lost without harm.
+        """
+        return [
+            member
+            for member in self._members.values()
+            if member.state in (State.ALIVE, State.SUSPECT)
+            and member.data_centre == data_centre
+        ]
+
     def peer_address(self, name: str) -> str:
         """Returns where a router takes peers' calls; empty if unknown."""
         member = self._members.get(name)
@@ -182,8 +195,9 @@
 
     async def probe(self, name: str) -> bool:
         """Probes a router, then through others; suspects it on silence."""
-        if await self._ping(name, ""):
-            return True
+        for _ in range(const.PROBE_TRIES):
+            if await self._ping(name, ""):
+                return True
         member = self._members.get(name)
         if member is None or member.state is State.DEAD:
             return False
