Smaller modules; bench processes measures real routers

Cause: the pump held the caller's side as well, the router its own description; control had been measured in memory only.

--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -9,6 +9,7 @@
 from bergamotmill.bench import control
 from bergamotmill.bench import decision
 from bergamotmill.bench import policy
+from bergamotmill.bench import processes
 from bergamotmill.bench import relay
 from bergamotmill.bench import soak
 
@@ -16,6 +17,7 @@
     "policy": policy,
     "decision": decision,
     "control": control,
+    "processes": processes,
     "soak": soak,
     "relay": relay,
 }
--- /dev/null
+++ b/bergamotmill/bench/processes.py
@@ -0,0 +1,106 @@
+"""`bench processes`: many real routers on loopback, measured from outside.
+
+script/bench starts the processes and gives their ids.
+"""
+
+import argparse
+import asyncio
+import json
+import statistics
+import time
+from typing import Any
+
+from bergamotmill.bench import relay
+from bergamotmill.helpers import http_client
+from bergamotmill.helpers import http_errors
+
+KEY = "demo-operator"
+LIMIT_S = 30.0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the command's options."""
+    parser.add_argument("--pids", required=True, help="comma-separated")
+    parser.add_argument("--operators", required=True, help="comma-separated")
+    parser.add_argument("--releases", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=10.0)
+
+
+async def _ask(pool, address: str, method: str, path: str, body=b""):
+    headers = [(b"authorization", f"Bearer {KEY}".encode())]
+    head, answer = await http_client.fetch(
+        pool, address, method, path, headers, body, 10.0
+    )
+    return head.status, json.loads(answer)
+
+
+async def _number(pool, address: str) -> int:
+    try:
+        _, value = await _ask(pool, address, "GET", "/status?fleet=0")
+    except (http_errors.HttpError, TimeoutError):
+        return 0
+    return value["release"]
+
+
+async def _spread(pool, addresses: list[str], number: int) -> float:
+    note = {
+        "title": f"change {number}",
+        "added": {"customers": {f"new-{number}": {}}},
+    }
+    publisher = addresses[number % len(addresses)]
+    started = time.perf_counter()
+    status, answer = await _ask(
+        pool,
+        publisher,
+        "POST",
+        "/release/publish",
+        json.dumps(note).encode(),
+    )
+    if status != 200:
+        raise RuntimeError(f"{status}: {answer}")
+    accepted = answer["number"]
+    waiting = set(addresses)
+    while waiting and time.perf_counter() - started < LIMIT_S:
+        for address in list(waiting):
+            if await _number(pool, address) >= accepted:
+                waiting.discard(address)
+    return time.perf_counter() - started
+
+
+async def _run(arguments: argparse.Namespace) -> dict[str, Any]:
+    pids = [int(item) for item in arguments.pids.split(",")]
+    addresses = arguments.operators.split(",")
+    pool = http_client.Pool()
+    await asyncio.sleep(15.0)
+    before = [relay.cpu_s(pid) for pid in pids]
+    await asyncio.sleep(arguments.seconds)
+    shares = [
+        (relay.cpu_s(pid) - spent) / arguments.seconds
+        for pid, spent in zip(pids, before, strict=True)
+    ]
+    spread = [
+        await _spread(pool, addresses, number)
+        for number in range(arguments.releases)
+    ]
+    pool.close()
+    return {
+        "routers": len(pids),
+        "core_share_median": statistics.median(shares),
+        "core_share_worst": max(shares),
+        "memory_mb_median": statistics.median(
+            relay.memory_kb(pid) / 1024 for pid in pids
+        ),
+        "in_force_median_s": statistics.median(spread),
+        "in_force_worst_s": max(spread),
+    }
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Measures running routers."""
+    return asyncio.run(_run(arguments))
+
+
+def show(result: dict[str, Any]) -> None:
+    """Prints the figures."""
+    for key, value in result.items():
+        print(f"{key:<20} {value:10.4f}")
--- a/bergamotmill/bench/relay.py
+++ b/bergamotmill/bench/relay.py
@@ -37,13 +37,15 @@
     parser.add_argument("--rate", type=float, default=30.0)
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
+    """Returns processor seconds that a process has spent."""
     text = pathlib.Path(f"/proc/{pid}/stat").read_text()
     fields = text.rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / TICKS
 
 
-def _memory_kb(pid: int) -> float:
+def memory_kb(pid: int) -> float:
+    """Returns the resident memory of a process."""
     text = pathlib.Path(f"/proc/{pid}/statm").read_text()
     return int(text.split()[1]) * PAGE / 1024
 
@@ -100,7 +102,7 @@
 
 async def _throughput(load: Load, arguments) -> dict[str, float]:
     pid = arguments.router_pid
-    idle_kb = _memory_kb(pid)
+    idle_kb = memory_kb(pid)
     count = int(24 * (arguments.seconds + 8))
     tasks = []
     for index in range(arguments.streams):
@@ -108,10 +110,10 @@
         if index % 20 == 0:
             await asyncio.sleep(0.05)
     await asyncio.sleep(2.0)
-    before = (_cpu_s(pid), load.tokens, time.perf_counter())
+    before = (cpu_s(pid), load.tokens, time.perf_counter())
     await asyncio.sleep(arguments.seconds)
-    after = (_cpu_s(pid), load.tokens, time.perf_counter())
-    active_kb = _memory_kb(pid)
+    after = (cpu_s(pid), load.tokens, time.perf_counter())
+    active_kb = memory_kb(pid)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
@@ -129,14 +131,14 @@
 
 async def _idle(arguments) -> float:
     pid = arguments.router_pid
-    before = _memory_kb(pid)
+    before = memory_kb(pid)
     pool = http_client.Pool()
     conns = [
         await pool.acquire(arguments.router, fresh=True)
         for _ in range(arguments.streams)
     ]
     await asyncio.sleep(0.5)
-    after = _memory_kb(pid)
+    after = memory_kb(pid)
     for conn in conns:
         conn.close()
     return (after - before) / arguments.streams
@@ -145,10 +147,10 @@
 async def _run(arguments: argparse.Namespace) -> dict[str, Any]:
     direct = Load(arguments.engine, arguments.key)
     routed = Load(arguments.router, arguments.key)
-    cpu_before = _cpu_s(arguments.router_pid)
+    cpu_before = cpu_s(arguments.router_pid)
     at = time.perf_counter()
     await asyncio.sleep(2.0)
-    idle_core = (_cpu_s(arguments.router_pid) - cpu_before) / (
+    idle_core = (cpu_s(arguments.router_pid) - cpu_before) / (
         time.perf_counter() - at
     )
     for load in (direct, routed):
--- a/bergamotmill/cli/main.py
+++ b/bergamotmill/cli/main.py
@@ -54,6 +54,7 @@
     commands = parser.add_subparsers(dest="command", required=True)
     check = commands.add_parser("check", help="check a settings file")
     check.add_argument("file")
+    check.add_argument("--json", action="store_true", help="print JSON")
     key = commands.add_parser("key-digest", help="digest of a key, for notes")
     key.add_argument("key", help="the key; - reads it from standard input")
     release = commands.add_parser("release", help="check and publish notes")
@@ -102,8 +103,11 @@
 def _check(arguments: argparse.Namespace) -> int:
     loaded = config.load(arguments.file)
     if loaded.is_err():
-        return _print_findings(loaded.err(), False)
-    print(f"{arguments.file}: no findings.")
+        return _print_findings(loaded.err(), arguments.json)
+    if arguments.json:
+        print(json.dumps({"findings": []}))
+    else:
+        print(f"{arguments.file}: no findings.")
     return EXIT_OK
 
 
--- a/bergamotmill/control/peers.py
+++ b/bergamotmill/control/peers.py
@@ -8,7 +8,6 @@
 import grpc
 import result
 
-from bergamotmill.proto import peer_pb2
 from bergamotmill.proto import peer_pb2_grpc
 
 Handler = Callable[[Any], Awaitable[Any]]
@@ -159,8 +158,3 @@
         """Stops listening; calls under way get a moment to end."""
         if self._server is not None:
             await self._server.stop(0.2)
-
-
-def empty_status() -> peer_pb2.StatusRequest:
-    """Returns the request for a router's status."""
-    return peer_pb2.StatusRequest()
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-import json
 import math
 import random
 from typing import Any
@@ -10,6 +9,7 @@
 import loguru
 
 from bergamotmill import core
+from bergamotmill import status as router_status
 from bergamotmill import supervisor
 from bergamotmill.control import distribution as release_distribution
 from bergamotmill.control import history as fleet_history
@@ -30,7 +30,6 @@
 from bergamotmill.platform import key_value
 from bergamotmill.platform.vm_list import config as vm_config
 from bergamotmill.platform.vm_list import coordinator as vm_list
-from bergamotmill.proto import peer_pb2
 from bergamotmill.routing import admission
 from bergamotmill.routing import decision as routing_decision
 from bergamotmill.routing import messages as routing_messages
@@ -49,8 +48,6 @@
 NEAR_S = 0.0005
 FAR_S = 0.0015
 MIN_PLACES = 4
-STATUS_TIMEOUT_S = 1.0
-STATUS_AT_ONCE = 64
 NOTICE_ALL_UP_TO = 8
 NOTICE_RECEIVERS = 7
 
@@ -80,7 +77,7 @@
         self._ids = id_source.IdSource(rng)
         self._supervisor = supervisor.Supervisor("router", rng)
         self._metrics = stats.Metrics(settings.statsd_address)
-        self._history = fleet_history.History(clock.wall)
+        self.history = fleet_history.History(clock.wall)
         self._vms = vm_list.VmListCoordinator(vms, rng)
         self._peers = make_peers(settings.fleet_key, self._peer_address)
         self._make_control()
@@ -124,7 +121,7 @@
             prefix,
             self.distribution,
             self.membership,
-            self._history,
+            self.history,
             clock.wall,
         )
 
@@ -196,7 +193,7 @@
             self.view,
             self._engines.links,
             self._settings.orders.max_loading,
-            self._history,
+            self.history,
             self.desk.publish,
             clock,
             self._rng,
@@ -225,11 +222,15 @@
             now,
             self._ids,
         )
+        own = settings.router
+        self.status = router_status.Status(
+            self, own.name, own.data_centre, self._peers
+        )
         self._operators = operators.OperatorFront(
             settings.operator_key_digests,
             self.desk,
             self.streams.explanations,
-            self,
+            self.status,
         )
         self._servers = [
             http_server.HttpServer(settings.router.front, self.front.handle),
@@ -245,7 +246,7 @@
             "Tail": generator.tail,
             "Borrow": self.gate.on_borrow,
             "Notify": self.notices.on_notify,
-            "Status": self._on_status,
+            "Status": self.status.on_status,
         }
         self._peer_server = make_peer_server(
             settings.router.peer, settings.fleet_key, handlers
@@ -261,6 +262,15 @@
         """This start of the router."""
         return self._incarnation
 
+    @property
+    def restarts(self) -> int:
+        """How often a part had to be started again."""
+        return self._supervisor.restarts
+
+    def now(self) -> float:
+        """Returns seconds of the monotonic clock."""
+        return self._clock.monotonic()
+
     def _peer_address(self, name: str) -> str:
         return self.membership.peer_address(name)
 
@@ -272,7 +282,7 @@
         own = self._settings.router.name
         alive = self.membership.alive()
         if len(alive) > NOTICE_ALL_UP_TO:
-            found = self.configuration().customer(customer)
+            found = self.distribution.configuration.customer(customer)
             alive = [] if found is None else list(self.book.subset(found))
         names = [member.name for member in alive if member.name != own]
         return names[:NOTICE_RECEIVERS]
@@ -396,84 +406,3 @@
         worths = [item.worth for item in configuration.classes.values()]
         mean = sum(worths) / len(worths) if worths else 1.0
         self.policy.set_fleet(routers, mean)
-
-    def configuration(self) -> core.Configuration:
-        """Returns the configuration in force here."""
-        return self.distribution.configuration
-
-    def counts(self) -> Mapping[str, Any]:
-        """Returns counters and gauges."""
-        return {
-            "counts": dict(self._metrics.counts),
-            "gauges": dict(self._metrics.gauges),
-        }
-
-    def status(self) -> Mapping[str, Any]:
-        """Returns this router's own state."""
-        now = self._clock.monotonic()
-        replicas = []
-        for name, view in sorted(self.view.views.items()):
-            report = view.load.report
-            models = {} if report is None else report.models
-            replicas.append(
-                {
-                    "name": name,
-                    "incarnation": view.incarnation,
-                    "models": {
-                        item.name: f"{item.version} {item.state.value}"
-                        for item in models.values()
-                    },
-                    "running": 0 if report is None else report.running,
-                    "wait_s": round(view.load.wait(0, now), 3),
-                    "usable": view.health.usable(now),
-                    "leaving": name in self.view.leaving,
-                    "keeps_s": round(view.horizon.seconds, 1),
-                }
-            )
-        return {
-            "router": self._settings.router.name,
-            "incarnation": self._incarnation,
-            "data_centre": self._settings.router.data_centre,
-            "state": self.membership.own.state.name.lower(),
-            "release": self.distribution.number,
-            "reader": self.distribution.reading,
-            "orders": self.orders.holding,
-            "busy": self.gate.admission.busy,
-            "waiting": self.gate.admission.waiting,
-            "restarts": self._supervisor.restarts,
-            "alive": sorted(item.name for item in self.membership.alive()),
-            "replicas": replicas,
-            "history": [
-                {"at": item.at, "kind": item.kind, "text": item.text}
-                for item in self._history.latest(10)
-            ],
-        }
-
-    async def _on_status(
-        self, request: peer_pb2.StatusRequest
-    ) -> peer_pb2.StatusReply:
-        del request
-        return peer_pb2.StatusReply(status=json.dumps(self.status()).encode())
-
-    async def fleet_status(self) -> list[Mapping[str, Any]]:
-        """Returns the state of all routers that answer, this one first."""
-        own = self._settings.router.name
-        names = [name for name in sorted(self.membership.known) if name != own]
-        slots = asyncio.Semaphore(STATUS_AT_ONCE)
-
-        async def ask(name: str) -> Mapping[str, Any]:
-            async with slots:
-                answer = await self._peers.call(
-                    name,
-                    "Status",
-                    peer_links.empty_status(),
-                    STATUS_TIMEOUT_S,
-                )
-            if answer.is_ok():
-                return json.loads(answer.ok().status)
-            member = self.membership.known.get(name)
-            state = "gone" if member is None else member.state.name.lower()
-            return {"router": name, "state": state, "error": answer.err()}
-
-        others = await asyncio.gather(*(ask(name) for name in names))
-        return [self.status(), *others]
--- a/bergamotmill/streams/pump.py
+++ b/bergamotmill/streams/pump.py
@@ -17,6 +17,7 @@
 from bergamotmill.routing import messages as routing_messages
 from bergamotmill.streams import assemble
 from bergamotmill.streams import body as engine_body
+from bergamotmill.streams import caller_port
 from bergamotmill.streams import const
 from bergamotmill.streams import context
 from bergamotmill.streams import events as sse
@@ -49,14 +50,13 @@
         self._request = request
         self._journal = journal
         self._tracker = run_state.RunTracker()
-        self._sink: messages.Sink | None = None
-        self._sink_gone: asyncio.Future[None] | None = None
-        self._sink_seen = 0
-        self._linger: asyncio.TimerHandle | None = None
         self._task: asyncio.Task[Finished] | None = None
         self._stream = None
         self._replica = ""
         self._numbering = numbering.Numbering(request.show_usage)
+        self._port = caller_port.CallerPort(
+            journal, self._numbering, self._cancel
+        )
         self._mark = request.request_id.encode()
         self._excluded: set[str] = set()
         self._decision: routing_messages.Decision | None = None
@@ -99,19 +99,20 @@
 
     async def stop(self) -> None:
         """Stops the pump; its journal stays for some time."""
-        if self._sink is not None:
-            self._sink.abort()
-            self._detach()
+        self._port.cut()
         self._task.cancel()
         await asyncio.wait({self._task})
 
+    def _cancel(self) -> None:
+        self._task.cancel()
+
     async def serve(self, sink: messages.Sink, seen: int) -> Finished | None:
         """Attaches a caller's side and waits until it is done.
 
         Returns:
             None when the sink was replaced or lost.
         """
-        gone = self._attach(sink, seen)
+        gone = self._port.attach(sink, seen)
         await asyncio.wait(
             {self._task, gone}, return_when=asyncio.FIRST_COMPLETED
         )
@@ -122,39 +123,13 @@
             return None
         return self._task.result()
 
-    def _attach(self, sink: messages.Sink, seen: int) -> asyncio.Future[None]:
-        if self._sink is not None:
-            self._sink.abort()
-            self._detach()
-        self._cancel_linger()
-        self._sink = sink
-        self._sink_seen = seen
-        self._sink_gone = asyncio.get_running_loop().create_future()
-        for line in self._numbering.replay(self._journal, seen):
-            sink.write(line)
-        return self._sink_gone
-
     def caller_left(self, sink: messages.Sink) -> None:
         """Takes note that a caller's side was lost.
 
         The engine goes on for a short time, in which the caller may resume
         here or elsewhere.
         """
-        if sink is not self._sink:
-            return
-        self._detach()
-        loop = asyncio.get_running_loop()
-        self._linger = loop.call_later(const.LINGER_S, self._task.cancel)
-
-    def _detach(self) -> None:
-        self._sink = None
-        if self._sink_gone is not None and not self._sink_gone.done():
-            self._sink_gone.set_result(None)
-
-    def _cancel_linger(self) -> None:
-        if self._linger is not None:
-            self._linger.cancel()
-            self._linger = None
+        self._port.lost(sink)
 
     async def _run(self) -> Finished:
         try:
@@ -171,7 +146,7 @@
             self._shared.metrics.count("streams.abandoned")
             raise
         finally:
-            self._cancel_linger()
+            self._port.stop_waiting()
             self._shared.pump_ended(self)
         return Finished(refused)
 
@@ -202,8 +177,8 @@
         self._journal.append(const.DONE)
         self._journal.complete = True
         number = len(self._journal.events)
-        if number > self._sink_seen:
-            await self._deliver([self._numbering.line(number, const.DONE)])
+        if number > self._port.seen:
+            await self._port.deliver([self._numbering.line(number, const.DONE)])
 
     async def _open(self) -> result.Result[None, refusal.Refusal]:
         decided = await self._shared.decide(
@@ -287,6 +262,7 @@
         splitter = sse.EventSplitter()
         journal = self._journal
         line = self._numbering.line
+        port = self._port
         while True:
             data = await stream.read()
             if not data:
@@ -307,10 +283,9 @@
                     if not self._numbering.shown(event):
                         continue
                 number = len(journal.events)
-                if number > self._sink_seen:
+                if number > port.seen:
                     out.append(line(number, event))
-            if out:
-                await self._deliver(out)
+            await port.deliver(out)
             if journal.complete:
                 stream.finish()
                 self._stream = None
@@ -329,27 +304,12 @@
                 self._request, self._first_token_at - self._started_at
             )
 
-    async def _deliver(self, out: list[bytes]) -> None:
-        sink = self._sink
-        if sink is None:
-            return
-        sink.write(out[0] if len(out) == 1 else b"".join(out))
-        if not sink.write_paused:
-            return
-        try:
-            async with asyncio.timeout(const.CALLER_STALL_S):
-                await sink.drain()
-        except TimeoutError:
-            sink.abort()
-            self.caller_left(sink)
-
     def _comment(self, event: bytes) -> None:
         if event.startswith(engine_const.MOVED_COMMENT):
             raise errors.UpstreamError(
                 errors.Failure.MOVED, "read elsewhere", sent=True
             )
-        if self._sink is not None:
-            self._sink.write(const.KEEP_ALIVE)
+        self._port.keep_alive()
 
     def _usage(self, event: bytes) -> None:
         usage = sse.data_of(event).get("usage") or {}
@@ -383,9 +343,7 @@
     ) -> refusal.Refusal | None:
         """Prepares another attempt, or says why there is none."""
         if err.failure is errors.Failure.MOVED:
-            if self._sink is not None:
-                self._sink.abort()
-                self._detach()
+            self._port.cut()
             return self._refuse(
                 409, refusal.CODE_STREAM_LOST, "resumed elsewhere"
             )
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -7,8 +7,8 @@
 from bergamotmill.bench import soak
 from bergamotmill.control import distribution
 from bergamotmill.filings import desk
+from bergamotmill.streams import caller_port
 from bergamotmill.streams import numbering
-from bergamotmill.streams import pump
 from bergamotmill.upstream.plain import coordinator as plain
 
 STEPS = 25
@@ -92,12 +92,12 @@
             self.assert_caught(("service_hangs",), "told not run")
 
     def test_repeating_what_the_caller_has_seen(self):
-        attach = pump.Pump._attach
+        attach = caller_port.CallerPort.attach
 
         def from_start(self, sink, seen):
             return attach(self, sink, 0)
 
-        with mock.patch.object(pump.Pump, "_attach", from_start):
+        with mock.patch.object(caller_port.CallerPort, "attach", from_start):
             self.assert_caught(("crash_router",), "stream")
 
     def test_losing_an_event(self):
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -188,7 +188,7 @@
             for _ in range(30):
                 got = await self.caller.stream(self.chat(4, "short"), 1)
                 self.assert_whole(got, 4)
-                model = self.cluster.routers[1].configuration().models
+                model = self.cluster.routers[1].status.configuration().models
                 served.append(model["drafter"].served_version)
             self.assertEqual(served, sorted(served))
             self.assertEqual(served[-1], "v2")
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,5 +1,7 @@
 """The system as real processes over real sockets, killed and stopped."""
 
+import contextlib
+import io
 import json
 import signal
 import threading
@@ -179,10 +181,16 @@
     def test_operators_command_line(self):
         address = self.system.routers[0]["operators"]
         settings = self.system.folder / "vm-0.json"
-        self.assertEqual(cli.main(["check", str(settings)]), 0)
+        with contextlib.redirect_stdout(io.StringIO()):
+            self.assertEqual(cli.main(["check", str(settings)]), 0)
         note = self.system.folder / "note.json"
         note.write_text(json.dumps({"title": "x", "changed": {"modls": {}}}))
-        with mock.patch.dict("os.environ", {cli.ENV_KEY: "operator"}):
+        quiet = io.StringIO()
+        with (
+            mock.patch.dict("os.environ", {cli.ENV_KEY: "operator"}),
+            contextlib.redirect_stdout(quiet),
+            contextlib.redirect_stderr(quiet),
+        ):
             base = ["--address", address]
             for words, status in (
                 (["status"], 0),
