Bench with the product's own spread; log an ejection once

Cause: with notices, a customer whose callers use all seven routers fares better than one kept to two; ejections of a dead replica were logged at each failed report.

--- a/bergamotmill/bench/policy.py
+++ b/bergamotmill/bench/policy.py
@@ -41,7 +41,7 @@
     parser.add_argument(
         "--spread",
         type=int,
-        default=2,
+        default=7,
         help="routers that a customer's callers are told to use",
     )
     parser.add_argument(
--- a/bergamotmill/routing/health.py
+++ b/bergamotmill/routing/health.py
@@ -24,6 +24,11 @@
         """When the replica may be tried again."""
         return self._out_until
 
+    @property
+    def first_ejection(self) -> bool:
+        """Whether the latest ejection is the first in a row."""
+        return self._ejections == 1
+
     def usable(self, now: float) -> bool:
         """Whether new work may go there."""
         return now >= self._out_until
--- a/bergamotmill/routing/view.py
+++ b/bergamotmill/routing/view.py
@@ -156,8 +156,7 @@
         """Takes note that an engine did not answer its poll."""
         view = self._views.get(name)
         if view is not None and view.health.failed(self._now()):
-            loguru.logger.warning("routing: {} ejected: no report.", name)
-            self._changed()
+            self._ejected(view, "no report")
 
     def new_incarnation(self, name: str, incarnation: int) -> None:
         """Voids what was known of a replica that has started anew."""
@@ -225,8 +224,14 @@
         if view is None:
             return
         if view.health.failed(self._now(), at_once):
-            loguru.logger.warning("routing: {} ejected.", name)
-            self._changed()
+            self._ejected(view, "failed requests")
+
+    def _ejected(self, view: ReplicaView, reason: str) -> None:
+        if view.health.first_ejection:
+            loguru.logger.warning(
+                "routing: {} ejected: {}.", view.replica.name, reason
+            )
+        self._changed()
 
     def eligible(
         self, model: str, version: str, adapter: str, adapter_version: str
