--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,6 +8,7 @@
 import time
 import unittest
 from unittest import mock
+import uuid
 
 import openai
 
@@ -136,6 +137,72 @@
         self.assertEqual(answer["error"]["code"], "outcome_unknown")
         self.assertEqual(status, 502)
 
+    def file(self, index, key, deadline_ms=3000):
+        return self.system.http(
+            self.system.routers[index]["front"],
+            "/services/registry/records",
+            "key",
+            b"{}",
+            [
+                ("idempotency-key", key),
+                ("x-deadline-ms", str(deadline_ms)),
+            ],
+        )
+
+    def token(self, index):
+        front = self.system.routers[index]["front"]
+        return self.system.http(front, "/v1/addresses")[1]["filing_token"]
+
+    def free_key(self, number):
+        bits = int(time.time() * 1000) << 80 | 7 << 76 | 2 << 62 | number
+        return str(uuid.UUID(int=bits))
+
+    def test_key_value_service_stopped(self):
+        self.system.signal("key-value", signal.SIGSTOP)
+        try:
+            self.assertEqual(self.stream(5), self.words(5))
+            status, _ = self.file(0, self.token(0) + ".kv")
+            self.assertEqual(status, 201)
+            status, answer = self.file(0, self.free_key(1), 8000)
+            self.assertEqual((status, answer["error"]["run"]), (503, "not_run"))
+        finally:
+            self.system.signal("key-value", signal.SIGCONT)
+        self.system.until(
+            lambda: self.file(0, self.free_key(2))[0] == 201, "a claim"
+        )
+
+    def test_peer_stopped_and_resumed(self):
+        key = self.token(1) + ".peer"
+        self.system.signal("vm-1", signal.SIGSTOP)
+        try:
+            status, answer = self.file(0, key)
+            self.assertEqual(answer["error"]["code"], "outcome_unknown")
+            gone = self.system.routers[1]["front"]
+            self.system.until(
+                lambda: gone not in self.addresses(0), "new address answer"
+            )
+        finally:
+            self.system.signal("vm-1", signal.SIGCONT)
+        # The forwarded filing came too late to be sent, or ran once.
+        answers = [self.file(1, key), self.file(0, key)]
+        self.assertIn(answers[0][0], (201, 502))
+        self.system.until(self.system.engines_seen, "members")
+
+    def addresses(self, index):
+        front = self.system.routers[index]["front"]
+        return self.system.http(front, "/v1/addresses")[1]["addresses"]
+
+    def test_service_stopped_in_mid_call_leaves_the_outcome_unknown(self):
+        key = self.token(0) + ".service"
+        self.system.signal("service", signal.SIGSTOP)
+        try:
+            status, answer = self.file(0, key, 2000)
+            self.assertEqual(status, 202)
+            self.assertEqual(answer["error"]["run"], "unknown")
+        finally:
+            self.system.signal("service", signal.SIGCONT)
+        self.system.until(lambda: self.file(1, key)[0] == 201, "the outcome")
+
     def test_graceful_shutdown_ends_streams_and_exits_with_0(self):
         result = []
         started = threading.Event()
