--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -8,6 +8,7 @@
 
 from bergamotmill.bench import control
 from bergamotmill.bench import decision
+from bergamotmill.bench import limits
 from bergamotmill.bench import policy
 from bergamotmill.bench import processes
 from bergamotmill.bench import relay
@@ -17,6 +18,7 @@
     "policy": policy,
     "decision": decision,
     "control": control,
+    "limits": limits,
     "processes": processes,
     "soak": soak,
     "relay": relay,
--- /dev/null
+++ b/bergamotmill/bench/limits.py
@@ -0,0 +1,88 @@
+"""`bench limits`: cost and overshoot of shared limits."""
+
+import argparse
+import gc
+import random
+import time
+import tracemalloc
+from typing import Any
+
+from bergamotmill.routing import limits
+
+LIMIT = 70.0
+ROUTERS = 7
+STEP_S = 0.01
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the command's options."""
+    parser.add_argument("--accounts", type=int, default=20_000)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+
+
+def _cost(accounts: int) -> dict[str, float]:
+    gc.collect()
+    tracemalloc.start()
+    held = limits.Limits(lambda name: 1 / ROUTERS)
+    names = [f"customer-{index}" for index in range(accounts)]
+    for name in names:
+        held.try_take(name, "review", LIMIT, 0.0)
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started = time.perf_counter()
+    for name in names:
+        held.try_take(name, "review", LIMIT, 1.0)
+    spent = time.perf_counter() - started
+    return {
+        "take_us": spent / accounts * 1e6,
+        "bytes_per_account": kept / accounts,
+    }
+
+
+def _served(talk: bool, skew: float, seconds: float, seed: int) -> float:
+    """Returns served requests as a share of the limit under full demand."""
+    rng = random.Random(seed)
+    routers = [limits.Limits(lambda name: 1 / ROUTERS) for _ in range(ROUTERS)]
+    weights = [skew**index for index in range(ROUTERS)]
+    served = 0
+    asked = [-1.0] * ROUTERS
+    now = 0.0
+    while now < seconds:
+        now += STEP_S
+        for index in rng.choices(range(ROUTERS), weights, k=2):
+            if routers[index].try_take("c", "k", LIMIT, now) == 0.0:
+                served += 1
+            elif talk and now - asked[index] >= 1.0:
+                asked[index] = now
+                _borrow(routers, index, now)
+    return served / (LIMIT * seconds)
+
+
+def _borrow(routers: list[limits.Limits], index: int, now: float) -> None:
+    for other, lender in enumerate(routers):
+        if other != index:
+            loan = lender.lend("c", "k", LIMIT, LIMIT / (ROUTERS - 1), now)
+            routers[index].borrow("c", "k", LIMIT, loan, now)
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Measures costs, and what is served under twice the demand."""
+    shares = {}
+    for name, talk, skew in (
+        ("even", True, 1.0),
+        ("skewed", True, 0.5),
+        ("skewed_cut_off", False, 0.5),
+    ):
+        shares[name] = _served(talk, skew, arguments.seconds, arguments.seed)
+    return {
+        **_cost(arguments.accounts),
+        "served_share_of_limit": shares,
+        "overshoot_bound_share": ROUTERS * limits.BURST_S / arguments.seconds,
+    }
+
+
+def show(result: dict[str, Any]) -> None:
+    """Prints the figures."""
+    for key, value in result.items():
+        print(f"{key}: {value}")
