Compute the living routers once per change

Change: the list is kept until the view changes. Conclusion: the cost per request no longer grows with the fleet.

--- a/bergamotmill/control/membership.py
+++ b/bergamotmill/control/membership.py
@@ -46,6 +46,7 @@
         self._releases: dict[str, int] = {}
         self._updates = members.UpdateQueue()
         self._rounds: dict[str, list[str]] = {}
+        self._alive: dict[str, tuple[members.Member, ...]] = {}
         self._round = 0
         self._listed: set[str] = set()
         self._listed_leaving: frozenset[str] = frozenset()
@@ -75,16 +76,23 @@
         """Calls back when a peer has a newer release."""
         self._behind = callback
 
-    def alive(self, data_centre: str = "") -> list[members.Member]:
-        """Returns routers that answer and stay, of one data centre or all."""
-        return [
-            member
-            for member in self._members.values()
-            if member.state is State.ALIVE
-            and member.incarnation > 0
-            and member.name not in self._listed_leaving
-            and (not data_centre or member.data_centre == data_centre)
-        ]
+    def alive(self, data_centre: str = "") -> tuple[members.Member, ...]:
+        """Returns routers that answer and stay, of one data centre or all.
+
+        It is asked for with each request, and computed when it changes.
+        """
+        found = self._alive.get(data_centre)
+        if found is None:
+            found = tuple(
+                member
+                for member in self._members.values()
+                if member.state is State.ALIVE
+                and member.incarnation > 0
+                and member.name not in self._listed_leaving
+                and (not data_centre or member.data_centre == data_centre)
+            )
+            self._alive[data_centre] = found
+        return found
 
     def reachable(self, data_centre: str) -> list[members.Member]:
         """Returns routers of a data centre that may well be alive.
@@ -343,6 +351,7 @@
                 self._remove(name)
 
     def _remove(self, name: str) -> None:
+        self._alive.clear()
         self._members.pop(name, None)
         self._dead_at.pop(name, None)
         self._suspected_at.pop(name, None)
@@ -362,6 +371,7 @@
         ]
 
     def _changed(self) -> None:
+        self._alive.clear()
         for listener in self._listeners:
             listener()
 
--- a/bergamotmill/front/addresses.py
+++ b/bergamotmill/front/addresses.py
@@ -6,7 +6,7 @@
 that they do not all ask again at once.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import dataclasses
 import random
 
@@ -30,7 +30,7 @@
 
     def __init__(
         self,
-        alive: Callable[[], list[fleet_members.Member]],
+        alive: Callable[[], Sequence[fleet_members.Member]],
         lifetime_s: float,
         token: Callable[[str], str],
         rng: random.Random,
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -283,7 +283,7 @@
         alive = self.membership.alive()
         if len(alive) > NOTICE_ALL_UP_TO:
             found = self.distribution.configuration.customer(customer)
-            alive = [] if found is None else list(self.book.subset(found))
+            alive = () if found is None else self.book.subset(found)
         names = [member.name for member in alive if member.name != own]
         return names[:NOTICE_RECEIVERS]
 
