Requests an engine has lost go first; hopeless ones are refused at once

Cause: under crashes the tail was made of requests that had waited at the dead replica and then queued again behind newer ones. A request whose predicted wait exceeded its deadline was sent all the same. Change: a retry or continuation has 10 more in priority, in the product and in the bench; a request that cannot begin before its deadline gets a 503 that is not run, with the time to come back.

--- a/bergamotmill/bench/simulation.py
+++ b/bergamotmill/bench/simulation.py
@@ -12,6 +12,7 @@
 
 from bergamotmill import core
 from bergamotmill.bench import workload as workloads
+from bergamotmill.routing import const
 from bergamotmill.routing import decision as routing_decision
 from bergamotmill.routing import kept as kept_export
 from bergamotmill.routing import messages
@@ -128,6 +129,7 @@
         self.decision: messages.Decision | None = None
         self.excluded: frozenset[str] = frozenset()
         self.best_pieces = 0
+        self.priority = request.shape.priority
 
 
 class Simulation:
@@ -292,7 +294,7 @@
             "",
             VERSION,
             "",
-            request.shape.priority,
+            flight.priority,
             request.shape.worth,
             request.chain,
             kept * workloads.PIECE_TOKENS,
@@ -358,7 +360,7 @@
         replica.model.submit(
             engine_model.Job(
                 request.name,
-                request.shape.priority,
+                flight.priority,
                 request.chain.digests,
                 workloads.PIECE_TOKENS,
                 request.chain.total_tokens,
@@ -420,6 +422,7 @@
     def _fail(self, flight: _Flight, name: str) -> None:
         flight.router.view.failed(name, at_once=True)
         flight.excluded = flight.excluded | {name}
+        flight.priority = flight.request.shape.priority + const.RETRY_PRIORITY
         self._decide(flight)
 
     def _crash(self) -> None:
--- a/bergamotmill/streams/context.py
+++ b/bergamotmill/streams/context.py
@@ -109,7 +109,10 @@
         )
 
     async def decide(
-        self, request: messages.ModelRequest, exclude: frozenset[str]
+        self,
+        request: messages.ModelRequest,
+        priority: int,
+        exclude: frozenset[str],
     ) -> result.Result[routing_messages.Decision, routing_messages.NoReplica]:
         """Chooses a replica for a request."""
         chain = self.chain_of(request)
@@ -121,7 +124,7 @@
             adapter=request.adapter,
             version=request.model.served_version,
             adapter_version=request.model.adapters.get(request.adapter, ""),
-            priority=request.request_class.priority,
+            priority=priority,
             worth=request.request_class.worth,
             chain=chain,
             kept_tokens=kept.tokens,
--- a/bergamotmill/streams/pump.py
+++ b/bergamotmill/streams/pump.py
@@ -14,6 +14,7 @@
 
 from bergamotmill.helpers import refusal
 from bergamotmill.helpers import run_state
+from bergamotmill.routing import const as routing_const
 from bergamotmill.routing import messages as routing_messages
 from bergamotmill.streams import assemble
 from bergamotmill.streams import body as engine_body
@@ -182,7 +183,7 @@
 
     async def _open(self) -> result.Result[None, refusal.Refusal]:
         decided = await self._shared.decide(
-            self._request, frozenset(self._excluded)
+            self._request, self._priority(), frozenset(self._excluded)
         )
         if decided.is_err():
             missing = decided.err()
@@ -195,6 +196,9 @@
                 )
             )
         decision = decided.ok()
+        late = self._too_late(decision)
+        if late is not None:
+            return result.Err(late)
         self._decision = decision
         self._replica = decision.choice.replica
         link = self._shared.links.get(self._replica)
@@ -215,6 +219,21 @@
         self._set_prefix(self._stream.head.incarnation)
         return result.Ok(None)
 
+    def _too_late(
+        self, decision: routing_messages.Decision
+    ) -> refusal.Refusal | None:
+        """Refuses at once what cannot begin before its deadline."""
+        left = self._request.deadline - self._shared.now()
+        wait = decision.choice.wait_s
+        if wait <= left:
+            return None
+        return self._refuse(
+            503,
+            refusal.CODE_OVERLOADED,
+            f"the engines are {wait:.1f} s behind",
+            wait - left,
+        )
+
     def _call_of(
         self, decision: routing_messages.Decision
     ) -> config.GenerateCall:
@@ -228,13 +247,20 @@
             request_id=request.request_id,
             path=request.path,
             body=json.dumps(body).encode(),
-            priority=request.request_class.priority,
+            priority=self._priority(),
             incarnation=choice.incarnation,
             version=request.model.served_version,
             chain=decision.ask.chain.digests,
             import_from=self._shared.store_for(decision),
         )
 
+    def _priority(self) -> int:
+        """Returns the priority; what an engine has lost goes first."""
+        priority = self._request.request_class.priority
+        if self._excluded:
+            priority += routing_const.RETRY_PRIORITY
+        return priority
+
     def _check_head(self, decision, head: config.StreamHead) -> None:
         """Asserts that the answer comes from the weights asked for."""
         if head.version != self._request.model.served_version:
--- a/tests/streams/test_streams.py
+++ b/tests/streams/test_streams.py
@@ -63,6 +63,47 @@
 
         self.run_cluster(scenario)
 
+    def test_continuation_goes_before_others_of_its_class(self):
+        async def scenario():
+            task = await self.begin()
+            index = self.serving()
+            await self.cluster.crash_engine(index)
+            await task
+            asks = [
+                explanation.decision.ask
+                for explanation in self.cluster.routers[
+                    0
+                ].streams.explanations._items.values()
+            ]
+            self.assertEqual([ask.priority for ask in asks], [11])
+
+        self.run_cluster(scenario)
+
+    def test_what_cannot_begin_in_time_is_refused_at_once(self):
+        async def scenario():
+            router = self.cluster.routers[0]
+            for view in router.view.views.values():
+                view.load.sent(8000.0 * 100, 1, self.now())
+            started = self.now()
+            headers = [(b"x-deadline-ms", b"5000")]
+            body = self.chat()
+            pool = http_client.Pool()
+            head, answer = await http_client.fetch(
+                pool,
+                f"{cluster.router_host(0)}:80",
+                "POST",
+                "/v1/chat/completions",
+                [(b"authorization", b"Bearer key-of-one"), *headers],
+                json.dumps(body).encode(),
+            )
+            self.assertEqual(head.status, 503)
+            self.assertEqual(json.loads(answer)["error"]["run"], "not_run")
+            self.assertGreater(int(head.text("retry-after")), 10)
+            self.assertLess(self.now() - started, 0.1)
+            self.assertEqual(self.total_runs(), 0)
+
+        self.run_cluster(scenario)
+
     def test_silent_engine_connection_is_found_and_resumed(self):
         async def scenario():
             task = await self.begin()
