Streams: no gap after a bad event, return to an earlier router, quicker resume

(3) Two callers that resumed one stream at once could meet an assertion. (4) A stopped engine cost 4 s of silence twice.

--- a/bergamotmill/streams/events.py
+++ b/bergamotmill/streams/events.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from bergamotmill.streams import const
+from bergamotmill.upstream import errors
 
 END = b"\n\n"
 
@@ -22,7 +23,11 @@
         return bool(self._rest)
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Returns the events that are complete now."""
+        """Returns the events that are complete now.
+
+        Raises:
+            errors.UpstreamError: an event does not end.
+        """
         if self._rest:
             data = self._rest + data
             self._rest = b""
@@ -31,7 +36,9 @@
         parts = data.split(END)
         self._rest = parts.pop()
         if len(self._rest) > const.MAX_EVENT_BYTES:
-            raise ValueError("an event is too large")
+            raise errors.UpstreamError(
+                errors.Failure.BROKEN, "an event is too large", sent=True
+            )
         return [part + END for part in parts]
 
 
--- a/bergamotmill/streams/generator.py
+++ b/bergamotmill/streams/generator.py
@@ -1,5 +1,6 @@
 """Serves model requests: new ones, resumed ones, whole and streamed."""
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 from typing import TypeAlias
@@ -71,6 +72,7 @@
     ):
         self._shared = shared
         self._peers = peers
+        self._taking: dict[str, asyncio.Task[Found | None]] = {}
 
     def open(self, request: messages.ModelRequest) -> stream_pump.Pump:
         """Starts serving a new request."""
@@ -127,20 +129,31 @@
         pump = self._shared.pumps.get(where.request_id)
         if pump is not None and pump.request.customer.name == customer:
             return result.Ok((pump, seen))
-        pump = await self._take_over(request, where)
+        pump = await self._take_over_once(request, where)
         if pump is None:
             return result.Err(_lost())
         self._shared.metrics.count("streams.taken_over")
         return result.Ok((pump, seen))
 
+    async def _take_over_once(
+        self, request: messages.ModelRequest, where: stream_id.StreamId
+    ) -> Found | None:
+        """Takes a stream over; who asks meanwhile gets the same pump."""
+        task = self._taking.get(where.request_id)
+        if task is None:
+            task = asyncio.create_task(self._take_over(request, where))
+            self._taking[where.request_id] = task
+            task.add_done_callback(
+                lambda _: self._taking.pop(where.request_id, None)
+            )
+        return await asyncio.shield(task)
+
     async def _take_over(
         self, request: messages.ModelRequest, where: stream_id.StreamId
     ) -> Found | None:
         customer = request.customer.name
         ended = self._shared.journals.find(where.request_id, customer)
-        if ended is not None:
-            if not ended.complete:
-                return None
+        if ended is not None and ended.complete:
             lines = numbering.Numbering(request.show_usage)
             lines.set_token(where.token(self._shared.fleet_key, customer))
             return EndedStream(ended, lines)
@@ -201,7 +214,7 @@
         request = dataclasses.replace(
             request, request_id=where.request_id, model=model
         )
-        journal = self._shared.journals.open(
+        journal = self._shared.journals.replace(
             where.request_id, request.customer.name
         )
         for event in events:
--- a/bergamotmill/streams/journal.py
+++ b/bergamotmill/streams/journal.py
@@ -37,7 +37,9 @@
     def __init__(self, now: Callable[[], float]):
         self._now = now
         self._journals: dict[str, Journal] = {}
-        self._ended: collections.deque[tuple[float, str]] = collections.deque()
+        self._ended: collections.deque[tuple[float, str, Journal]] = (
+            collections.deque()
+        )
         self._ended_bytes = 0
 
     def __len__(self) -> int:
@@ -58,19 +60,28 @@
             return None
         return journal
 
+    def replace(self, request_id: str, customer: str) -> Journal:
+        """Starts a journal in place of one that ended incomplete."""
+        old = self._journals.pop(request_id, None)
+        if old is not None and old.complete:
+            raise AssertionError(f"stream {request_id} is complete")
+        return self.open(request_id, customer)
+
     def end(self, request_id: str) -> None:
         """Marks a journal as ended; it is kept for some time."""
         journal = self._journals[request_id]
-        self._ended.append((self._now(), request_id))
+        self._ended.append((self._now(), request_id, journal))
         self._ended_bytes += journal.size
         self._sweep()
 
     def _sweep(self) -> None:
         oldest = self._now() - const.KEPT_AFTER_END_S
         while self._ended:
-            ended_at, request_id = self._ended[0]
+            ended_at, request_id, journal = self._ended[0]
             full = self._ended_bytes > const.MAX_JOURNAL_BYTES
             if ended_at > oldest and not full:
                 return
             self._ended.popleft()
-            self._ended_bytes -= self._journals.pop(request_id).size
+            self._ended_bytes -= journal.size
+            if self._journals.get(request_id) is journal:
+                del self._journals[request_id]
--- a/bergamotmill/streams/pump.py
+++ b/bergamotmill/streams/pump.py
@@ -286,36 +286,44 @@
         """Passes events on until the stream is complete."""
         stream = self._stream
         splitter = sse.EventSplitter()
-        journal = self._journal
-        line = self._numbering.line
-        port = self._port
-        while True:
+        while not self._journal.complete:
             data = await stream.read()
             if not data:
                 raise errors.UpstreamError(
                     errors.Failure.LOST, "ended too early", sent=True
                 )
-            out = []
-            for event in splitter.feed(data):
-                if event.startswith(b":"):
-                    self._comment(event)
+            out: list[bytes] = []
+            try:
+                self._take(splitter, data, out)
+            finally:
+                # What the journal holds must reach the caller, also when
+                # a later event of the same read is bad.
+                await self._port.deliver(out)
+        stream.finish()
+        self._stream = None
+
+    def _take(
+        self, splitter: sse.EventSplitter, data: bytes, out: list[bytes]
+    ) -> None:
+        """Checks and keeps the events in some bytes; fills `out`."""
+        journal = self._journal
+        line = self._numbering.line
+        seen = self._port.seen
+        for event in splitter.feed(data):
+            if event.startswith(b":"):
+                self._comment(event)
+                continue
+            self._check_event(event)
+            journal.append(event)
+            if sse.is_done(event):
+                journal.complete = True
+            elif numbering.has_usage(event):
+                self._usage(event)
+                if not self._numbering.shown(event):
                     continue
-                self._check_event(event)
-                journal.append(event)
-                if sse.is_done(event):
-                    journal.complete = True
-                elif numbering.has_usage(event):
-                    self._usage(event)
-                    if not self._numbering.shown(event):
-                        continue
-                number = len(journal.events)
-                if number > port.seen:
-                    out.append(line(number, event))
-            await port.deliver(out)
-            if journal.complete:
-                stream.finish()
-                self._stream = None
-                return
+            number = len(journal.events)
+            if number > seen:
+                out.append(line(number, event))
 
     def _check_event(self, event: bytes) -> None:
         if sse.is_done(event):
@@ -338,7 +346,10 @@
         self._port.keep_alive()
 
     def _usage(self, event: bytes) -> None:
-        usage = sse.data_of(event).get("usage") or {}
+        try:
+            usage = sse.data_of(event).get("usage") or {}
+        except ValueError:
+            return
         details = usage.get("prompt_tokens_details") or {}
         cached = details.get("cached_tokens")
         if cached is None or self._decision is None:
@@ -434,10 +445,10 @@
         return self._refuse(err.status, refusal.CODE_INVALID, message)
 
     def _give_up(self, err: errors.UpstreamError) -> refusal.Refusal:
-        code = refusal.CODE_UPSTREAM
+        message = f"the engine failed: {err}"
         if self._tracker.state is run_state.RunState.NOT_SENT:
-            code = refusal.CODE_OVERLOADED
-        return self._refuse(502, code, f"the engine failed: {err}", 1.0)
+            return self._refuse(503, refusal.CODE_OVERLOADED, message, 1.0)
+        return self._refuse(502, refusal.CODE_UPSTREAM, message, 1.0)
 
     def _refuse(
         self, status: int, code: str, message: str, retry_after_s: float = 0.0
--- a/bergamotmill/upstream/engine/const.py
+++ b/bergamotmill/upstream/engine/const.py
@@ -30,5 +30,7 @@
 EVENTS_MAX = 256
 ORDER_TIMEOUT_S = 3.0
 SILENCE_S = 4.0
+# An engine that holds a stream answers at once.
+RESUME_SILENCE_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
 MAX_ERROR_BYTES = 64 * 1024
--- a/bergamotmill/upstream/engine/link.py
+++ b/bergamotmill/upstream/engine/link.py
@@ -97,7 +97,10 @@
         """Takes over a running stream after `seen` events."""
         target = f"{const.PATH_STREAMS}{request_id}?seen={seen}"
         conn = await self._acquire(fresh=True)
-        head = await self._send(conn, "GET", target, [], b"", const.SILENCE_S)
+        head = await self._send(
+            conn, "GET", target, [], b"", const.RESUME_SILENCE_S
+        )
+        conn.set_silence_limit(const.SILENCE_S)
         return await self._stream_of(conn, head, request_id)
 
     async def cancel(self, request_id: str) -> None:
--- a/tests/streams/test_streams.py
+++ b/tests/streams/test_streams.py
@@ -2,10 +2,12 @@
 import dataclasses
 import json
 import unittest
+from unittest import mock
 
 from bergamotmill.helpers import http_client
 from bergamotmill.standin import cluster
 from bergamotmill.standin import engine
+from bergamotmill.standin import engine_stream
 from tests import virtual
 
 
@@ -50,6 +52,63 @@
 
         self.run_cluster(scenario)
 
+    def test_stream_moves_to_another_router_and_back(self):
+        async def scenario():
+            task = await self.begin(router=0, tokens=900)
+            # The caller's way to router 0 goes silent; it resumes at router
+            # 1, which dies, then at router 2, which dies, then at router 0.
+            self.network.silence("10.0.9.9", cluster.router_host(0))
+            await asyncio.sleep(10.0)
+            await self.cluster.crash_router(1)
+            await asyncio.sleep(1.5)
+            await self.cluster.crash_router(2)
+            got = await task
+            self.assert_whole(got, 900)
+            self.assertGreaterEqual(got.resumes, 3)
+            self.assertEqual(self.total_runs(), 1, "it was run again")
+
+        self.run_cluster(scenario)
+
+    def test_two_resume_the_same_stream_at_once(self):
+        async def scenario():
+            task = await self.begin(router=0, tokens=100)
+            pumps = self.cluster.routers[0].streams.pumps
+            pump = next(iter(pumps.values()))
+            line = pump._numbering.line(3, b"")[4:].strip()
+            headers = [(b"last-event-id", line)]
+            both = await asyncio.gather(
+                *(
+                    self.caller.stream(self.chat(100), 1, headers)
+                    for _ in range(2)
+                )
+            )
+            await task
+            for got in both:
+                words = got.text.split()
+                wanted = [f"t{index}" for index in range(3, 100)]
+                self.assertEqual(words, wanted[: len(words)])
+            self.assertTrue(any(got.whole for got in both))
+
+        self.run_cluster(scenario)
+
+    def test_good_events_before_a_bad_one_in_the_same_read(self):
+        async def scenario():
+            add = engine_stream.HeldStream._write
+
+            def write(stream, event):
+                if len(stream._events) == 9 and "bad" not in stream.__dict__:
+                    stream.bad = True
+                    stray = event.replace(stream.request_id.encode(), b"other")
+                    stream._events[-1] += stray
+                add(stream, event)
+
+            with mock.patch.object(engine_stream.HeldStream, "_write", write):
+                for index in range(3):
+                    got = await self.caller.stream(self.chat(), index)
+                    self.assert_whole(got)
+
+        self.run_cluster(scenario)
+
     def test_router_and_engine_die_together_gives_a_clear_error(self):
         async def scenario():
             task = await self.begin(router=1)
