Test of events before a bad one fails without its mend

Cause: the stray event was added behind an event already sent, so that the test passed without the mend as well. Now t9 is lost there (tried on the old code).

--- a/tests/streams/test_streams.py
+++ b/tests/streams/test_streams.py
@@ -96,10 +96,9 @@
             add = engine_stream.HeldStream._write
 
             def write(stream, event):
-                if len(stream._events) == 9 and "bad" not in stream.__dict__:
-                    stream.bad = True
-                    stray = event.replace(stream.request_id.encode(), b"other")
-                    stream._events[-1] += stray
+                if len(stream._events) == 9:
+                    own = stream.request_id.encode()
+                    event += event.replace(own, b"another")
                 add(stream, event)
 
             with mock.patch.object(engine_stream.HeldStream, "_write", write):
