Settled outcomes of bound keys survive their router while the fleet is small

Cause: after a crash every filing of the dead incarnation was unknown, also those whose outcome had been told. Change: outcomes are written down best effort within 50 writes a second for the fleet; whoever gets a key of a router that is gone looks there.

--- a/bergamotmill/filings/claims.py
+++ b/bergamotmill/filings/claims.py
@@ -160,6 +160,34 @@
                 stored, done.encode(), found.ok().revision, lease.ok()
             )
 
+    async def record(
+        self,
+        customer: str,
+        key: str,
+        digest: bytes,
+        outcome: messages.Outcome,
+    ) -> None:
+        """Writes down what came of a bound key; failures do not matter.
+
+        Nobody claims bound keys, so that the record is only ever read, when
+        the router that ran the key is gone.
+        """
+        if len(outcome.body) > const.MAX_CLAIM_OUTCOME_BYTES:
+            return
+        lease = await self._shared_lease()
+        if lease.is_err():
+            return
+        claim = Claim(
+            self._router,
+            self._incarnation,
+            digest.hex(),
+            self._ids.new(),
+            outcome,
+        )
+        await self._store.put(
+            self._key(customer, key), claim.encode(), 0, lease.ok()
+        )
+
     async def _shared_lease(
         self,
     ) -> result.Result[int, key_value.Unavailable]:
--- a/bergamotmill/filings/const.py
+++ b/bergamotmill/filings/const.py
@@ -11,4 +11,7 @@
 CLAIM_LEASE_S = KEY_LIFETIME_S + 2 * 3600.0
 CLAIM_LEASE_SHARED_S = 3600.0
 FORWARD_MARGIN_S = 0.25
+# Outcomes of bound keys that the fleet writes down, a second; best effort.
+RECORDS_PER_S = 50.0
+RECORD_BURST = 20.0
 CLAIM_PREFIX = "/claims/"
--- a/bergamotmill/filings/desk.py
+++ b/bergamotmill/filings/desk.py
@@ -20,6 +20,7 @@
 from bergamotmill.util import clock as clocks
 from bergamotmill.util import ids as id_source
 from bergamotmill.util import tasks as background
+from bergamotmill.util import token_bucket
 
 State = messages.FilingState
 ServiceOf = Callable[[str], plain.ServiceLink | None]
@@ -51,6 +52,17 @@
         self._ids = ids
         self.ledger = filing_ledger.Ledger(clock.wall)
         self._running = background.Tasks()
+        self._records = token_bucket.TokenBucket(
+            const.RECORDS_PER_S, const.RECORD_BURST, clock.monotonic()
+        )
+
+    def set_fleet(self, routers: int) -> None:
+        """Shares the fleet's rate of written outcomes."""
+        self._records.set_rate(
+            const.RECORDS_PER_S / max(1, routers),
+            const.RECORD_BURST,
+            self._clock.monotonic(),
+        )
 
     def token(self, customer: str) -> str:
         """Returns a token under which a customer makes keys."""
@@ -81,7 +93,7 @@
         if key.router != self._router:
             return await self._forward(filing, key.router, key.incarnation)
         if key.incarnation != self._incarnation:
-            return _gone()
+            return await self._recorded(filing, _gone())
         return await self._run_here(filing, key.issued_at)
 
     async def _file_free(
@@ -162,10 +174,13 @@
     ) -> None:
         outcome = await self._call(filing, entry)
         self.ledger.settle(filing.customer, filing.key, outcome)
-        if claimed and outcome.state is State.RAN:
-            await self._claims.complete(
-                filing.customer, filing.key, entry.digest, outcome
-            )
+        if outcome.state is not State.RAN:
+            return
+        parts = (filing.customer, filing.key, entry.digest, outcome)
+        if claimed:
+            await self._claims.complete(*parts)
+        elif self._records.try_take(1.0, self._clock.monotonic()):
+            await self._claims.record(*parts)
 
     async def _call(
         self, filing: messages.Filing, entry: filing_ledger.Entry
@@ -222,11 +237,29 @@
             max(0.05, left),
         )
         if answer.is_err():
-            return messages.Outcome(
+            unknown = messages.Outcome(
                 State.UNKNOWN,
                 reason=f"router {router} does not answer: {answer.err()}",
             )
-        return outcome_of_reply(answer.ok())
+            return await self._recorded(filing, unknown)
+        outcome = outcome_of_reply(answer.ok())
+        if outcome.state is State.UNKNOWN:
+            return await self._recorded(filing, outcome)
+        return outcome
+
+    async def _recorded(
+        self, filing: messages.Filing, otherwise: messages.Outcome
+    ) -> messages.Outcome:
+        """Returns an outcome that was written down, if there is one."""
+        found = await self._claims.find(filing.customer, filing.key)
+        claim = found.unwrap_or(None)
+        if claim is None or claim.outcome is None:
+            return otherwise
+        if claim.digest != filing.digest().hex():
+            return messages.Outcome(
+                State.MISMATCH, reason="the key was used with another body"
+            )
+        return claim.outcome
 
     async def serve_peer(
         self, request: peer_pb2.FilingRequest
@@ -289,10 +322,21 @@
     async def _look_up_at(
         self, customer: str, key: str, router: str, incarnation: int
     ) -> messages.Outcome:
-        if router == self._router:
-            if incarnation != self._incarnation:
-                return _gone()
+        if router == self._router and incarnation == self._incarnation:
             return self._look_up_here(customer, key)
+        outcome = _gone()
+        if router != self._router:
+            outcome = await self._ask(customer, key, router, incarnation)
+        if outcome.state is not State.UNKNOWN:
+            return outcome
+        found = (await self._claims.find(customer, key)).unwrap_or(None)
+        if found is None or found.outcome is None:
+            return outcome
+        return found.outcome
+
+    async def _ask(
+        self, customer: str, key: str, router: str, incarnation: int
+    ) -> messages.Outcome:
         request = peer_pb2.FilingRequest(
             customer=customer,
             key=key,
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -419,3 +419,4 @@
         worths = [item.worth for item in configuration.classes.values()]
         mean = sum(worths) / len(worths) if worths else 1.0
         self.policy.set_fleet(routers, mean)
+        self.filings.set_fleet(routers)
