--- a/bergamotmill/bench/figures.py
+++ b/bergamotmill/bench/figures.py
@@ -4,7 +4,7 @@
 import statistics
 from typing import Any
 
-from bergamotmill.bench import simulation
+from bergamotmill.bench import parts
 
 
 def percentile(values: list[float], percent: float) -> float:
@@ -16,7 +16,7 @@
     return ordered[rank]
 
 
-def of_run(served: Iterable[simulation.Served]) -> dict[str, float]:
+def of_run(served: Iterable[parts.Served]) -> dict[str, float]:
     """Returns the figures of one run."""
     served = list(served)
     done = [item for item in served if item.first_token_s >= 0]
--- /dev/null
+++ b/bergamotmill/bench/parts.py
@@ -0,0 +1,115 @@
+"""The routers, replicas and requests of a simulation."""
+
+import dataclasses
+import random
+from typing import TYPE_CHECKING
+
+from bergamotmill import core
+from bergamotmill.bench import workload as workloads
+from bergamotmill.routing import decision as routing_decision
+from bergamotmill.routing import kept as kept_export
+from bergamotmill.routing import messages
+from bergamotmill.routing import view as fleet_view
+from bergamotmill.standin import engine_model
+from bergamotmill.upstream.engine import config
+
+if TYPE_CHECKING:
+    from bergamotmill.bench import simulation as bench_simulation
+
+ROUTERS = 7
+MODEL = "drafter"
+VERSION = "v1"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Served:
+    """One request's outcome; a negative time means a refusal."""
+
+    shape: workloads.ClassShape
+    at: float
+    first_token_s: float
+    prompt_tokens: int
+    cached_tokens: int
+    wasted_tokens: int
+
+
+class Replica:
+    """A modelled engine with its incarnation."""
+
+    def __init__(self, name: str, speed: engine_model.Speed, place: int):
+        self.name = name
+        self.speed = speed
+        self.place = place
+        self.model = engine_model.EngineModel(speed)
+        self.incarnation = 1
+        self.up = True
+        self.scheduled: float | None = None
+
+    def report(self, now: float) -> config.LoadReport:
+        """Returns what the engine would report now."""
+        loaded = config.LoadedModel(MODEL, VERSION, config.ModelState.READY)
+        return config.LoadReport(
+            self.incarnation,
+            now,
+            self.model.queued_tokens(now),
+            self.model.running,
+            self.speed.slots,
+            self.model.accepted_tokens,
+            self.speed.prefill_tokens_per_s,
+            {MODEL: loaded},
+        )
+
+
+class Router:
+    """One router's own view and policy."""
+
+    def __init__(
+        self, simulation: "bench_simulation.Simulation", index: int, policy: str
+    ):
+        self.index = index
+        workload = simulation.workload
+        self.place = index % workload.data_centres
+        self.view = fleet_view.FleetView(lambda: simulation.now)
+        weights = messages.Weights(
+            workload.latency_weight, workload.waste_weight
+        )
+        rng = random.Random(f"{simulation.seed}/router/{index}")
+        self.policy = routing_decision.POLICIES.get(policy)(
+            self.view, weights, rng
+        )
+        worths = [shape.worth for shape in workload.classes]
+        self.policy.set_fleet(ROUTERS, sum(worths) / len(worths))
+        replicas = {
+            item.name: core.Replica(
+                item.name,
+                "",
+                str(item.place),
+                slots=item.speed.slots,
+                prefill_tokens_per_s=item.speed.prefill_tokens_per_s,
+            )
+            for item in simulation.replicas.values()
+        }
+        self.view.adopt(replicas, self._distance(workload))
+        popularity = getattr(self.policy, "popularity", None)
+        self.exports = None
+        if popularity is not None:
+            self.exports = kept_export.ExportPolicy(popularity, 0.0)
+
+    def _distance(self, workload: workloads.Workload):
+        def distance(data_centre: str) -> float:
+            near = data_centre == str(self.place)
+            return workload.near_s if near else workload.far_s
+
+        return distance
+
+
+class Flight:
+    """One request on its way."""
+
+    def __init__(self, request: workloads.Request, router: Router):
+        self.request = request
+        self.router = router
+        self.decision: messages.Decision | None = None
+        self.excluded: frozenset[str] = frozenset()
+        self.best_pieces = 0
+        self.priority = request.shape.priority
--- a/bergamotmill/bench/simulation.py
+++ b/bergamotmill/bench/simulation.py
@@ -4,28 +4,21 @@
 engines are modelled.
 """
 
-import dataclasses
 import heapq
 import itertools
 import random
 from typing import Any
 
-from bergamotmill import core
+from bergamotmill.bench import parts
 from bergamotmill.bench import workload as workloads
 from bergamotmill.routing import const
-from bergamotmill.routing import decision as routing_decision
-from bergamotmill.routing import kept as kept_export
 from bergamotmill.routing import messages
 from bergamotmill.routing import notices
-from bergamotmill.routing import view as fleet_view
 from bergamotmill.standin import engine_model
 from bergamotmill.upstream.engine import config
 from bergamotmill.upstream.engine import coordinator as engines
 from bergamotmill.util import rendezvous
 
-ROUTERS = 7
-MODEL = "drafter"
-VERSION = "v1"
 ADDRESS_LIFETIME_S = 10.0
 EVENT_PERIOD_S = 1.0
 EVENTS_PER_POLL = 256
@@ -40,98 +33,6 @@
 FAULTS = ("lag", "gaps", "crash", "shift", "kv-down")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Served:
-    """One request's outcome; a negative time means a refusal."""
-
-    shape: workloads.ClassShape
-    at: float
-    first_token_s: float
-    prompt_tokens: int
-    cached_tokens: int
-    wasted_tokens: int
-
-
-class _Replica:
-    """A modelled engine with its incarnation."""
-
-    def __init__(self, name: str, speed: engine_model.Speed, place: int):
-        self.name = name
-        self.speed = speed
-        self.place = place
-        self.model = engine_model.EngineModel(speed)
-        self.incarnation = 1
-        self.up = True
-        self.scheduled: float | None = None
-
-    def report(self, now: float) -> config.LoadReport:
-        """Returns what the engine would report now."""
-        loaded = config.LoadedModel(MODEL, VERSION, config.ModelState.READY)
-        return config.LoadReport(
-            self.incarnation,
-            now,
-            self.model.queued_tokens(now),
-            self.model.running,
-            self.speed.slots,
-            self.model.accepted_tokens,
-            self.speed.prefill_tokens_per_s,
-            {MODEL: loaded},
-        )
-
-
-class _Router:
-    """One router's own view and policy."""
-
-    def __init__(self, simulation: "Simulation", index: int, policy: str):
-        self.index = index
-        workload = simulation.workload
-        self.place = index % workload.data_centres
-        self.view = fleet_view.FleetView(lambda: simulation.now)
-        weights = messages.Weights(
-            workload.latency_weight, workload.waste_weight
-        )
-        rng = random.Random(f"{simulation.seed}/router/{index}")
-        self.policy = routing_decision.POLICIES.get(policy)(
-            self.view, weights, rng
-        )
-        worths = [shape.worth for shape in workload.classes]
-        self.policy.set_fleet(ROUTERS, sum(worths) / len(worths))
-        replicas = {
-            item.name: core.Replica(
-                item.name,
-                "",
-                str(item.place),
-                slots=item.speed.slots,
-                prefill_tokens_per_s=item.speed.prefill_tokens_per_s,
-            )
-            for item in simulation.replicas.values()
-        }
-        self.view.adopt(replicas, self._distance(workload))
-        popularity = getattr(self.policy, "popularity", None)
-        self.exports = None
-        if popularity is not None:
-            self.exports = kept_export.ExportPolicy(popularity, 0.0)
-
-    def _distance(self, workload: workloads.Workload):
-        def distance(data_centre: str) -> float:
-            near = data_centre == str(self.place)
-            return workload.near_s if near else workload.far_s
-
-        return distance
-
-
-class _Flight:
-    """One request on its way."""
-
-    def __init__(self, request: workloads.Request, router: _Router):
-        self.request = request
-        self.router = router
-        self.decision: messages.Decision | None = None
-        self.excluded: frozenset[str] = frozenset()
-        self.best_pieces = 0
-        self.priority = request.shape.priority
-
-
 class Simulation:
     """One run of one policy on one workload under faults."""
 
@@ -160,7 +61,7 @@
         self._events: list[tuple[float, int, Any, tuple]] = []
         self._sequence = itertools.count()
         self.replicas = {
-            f"replica-{index}": _Replica(
+            f"replica-{index}": parts.Replica(
                 f"replica-{index}",
                 workload.speed,
                 index % workload.data_centres,
@@ -170,14 +71,14 @@
         self._report_period = engines.report_period(workload.replicas)
         self._kept = engine_model.PieceCache(KEPT_PIECES)
         self.routers = [
-            _Router(self, index, policy) for index in range(ROUTERS)
+            parts.Router(self, index, policy) for index in range(parts.ROUTERS)
         ]
         for router in self.routers:
             attach = getattr(router.policy, "attach", None)
             if attach is not None:
                 attach(self)
-        self._flights: dict[str, _Flight] = {}
-        self.served: list[Served] = []
+        self._flights: dict[str, parts.Flight] = {}
+        self.served: list[parts.Served] = []
 
     def at(self, moment: float, action: Any, *arguments: Any) -> None:
         """Schedules an action."""
@@ -185,7 +86,7 @@
             self._events, (moment, next(self._sequence), action, arguments)
         )
 
-    def run(self) -> list[Served]:
+    def run(self) -> list[parts.Served]:
         """Runs to the end and returns the outcomes after the warm-up."""
         shift = SHIFT_EVERY_S if "shift" in self._faults else 0.0
         for request in workloads.draw(
@@ -211,7 +112,9 @@
     def _lag(self) -> float:
         return LAG_S if "lag" in self._faults else 0.001
 
-    def _poll_report(self, router: _Router, replica: _Replica) -> None:
+    def _poll_report(
+        self, router: parts.Router, replica: parts.Replica
+    ) -> None:
         if replica.up:
             report = replica.report(self.now)
             self.at(
@@ -227,7 +130,7 @@
             self.at(self.now + pause, self._poll_report, router, replica)
 
     def _poll_events(
-        self, router: _Router, replica: _Replica, state: list[int]
+        self, router: parts.Router, replica: parts.Replica, state: list[int]
     ) -> None:
         incarnation, after = state
         if replica.up and incarnation == replica.incarnation:
@@ -260,16 +163,16 @@
 
     def _arrive(self, request: workloads.Request) -> None:
         router = self._router_of(request)
-        flight = _Flight(request, router)
+        flight = parts.Flight(request, router)
         self._flights[request.name] = flight
         self._decide(flight)
 
-    def _router_of(self, request: workloads.Request) -> _Router:
+    def _router_of(self, request: workloads.Request) -> parts.Router:
         """Returns a router of the customer's, as callers were told.
 
         A caller keeps the answer for its lifetime, then asks again.
         """
-        names = [str(index) for index in range(ROUTERS)]
+        names = [str(index) for index in range(parts.ROUTERS)]
         own = rendezvous.top(request.customer, names, self._spread)
         turn = int(self.now / ADDRESS_LIFETIME_S)
         chosen = rendezvous.rank(f"{request.case}/{turn}", own)[0]
@@ -284,15 +187,15 @@
         """Returns how many pieces the store holds and can give now."""
         return self._kept.depth(chain) if self._store_up() else 0
 
-    def _decide(self, flight: _Flight) -> None:
+    def _decide(self, flight: parts.Flight) -> None:
         request = flight.request
         kept = self.kept_pieces(request.chain.digests)
         ask = messages.Ask(
             request.name,
             request.customer,
-            MODEL,
+            parts.MODEL,
             "",
-            VERSION,
+            parts.VERSION,
             "",
             flight.priority,
             request.shape.worth,
@@ -312,7 +215,7 @@
         flight.decision = decided.ok()
         self._send(flight)
 
-    def _send(self, flight: _Flight) -> None:
+    def _send(self, flight: parts.Flight) -> None:
         decision = flight.decision
         replica = self.replicas[decision.choice.replica]
         view = flight.router.view.views[replica.name]
@@ -341,7 +244,7 @@
                     decision.ask.priority,
                 )
 
-    def _receive(self, flight: _Flight, replica: _Replica) -> None:
+    def _receive(self, flight: parts.Flight, replica: parts.Replica) -> None:
         if not replica.up:
             self._fail(flight, replica.name)
             return
@@ -377,7 +280,7 @@
             report,
         )
 
-    def _work(self, replica: _Replica) -> None:
+    def _work(self, replica: parts.Replica) -> None:
         for ready in replica.model.advance(self.now):
             flight = self._flights.get(ready.job.name)
             if flight is not None:
@@ -387,7 +290,7 @@
             replica.scheduled = due
             self.at(max(due, self.now), self._wake, replica, due)
 
-    def _wake(self, replica: _Replica, due: float) -> None:
+    def _wake(self, replica: parts.Replica, due: float) -> None:
         if replica.scheduled == due:
             replica.scheduled = None
             self._work(replica)
@@ -419,7 +322,7 @@
         if held and self._store_up():
             self._kept.use(held)
 
-    def _fail(self, flight: _Flight, name: str) -> None:
+    def _fail(self, flight: parts.Flight, name: str) -> None:
         flight.router.view.failed(name, at_once=True)
         flight.excluded = flight.excluded | {name}
         flight.priority = flight.request.shape.priority + const.RETRY_PRIORITY
@@ -438,7 +341,7 @@
         if self.now < self._seconds:
             self.at(self.now + CRASH_EVERY_S, self._crash)
 
-    def _restart(self, replica: _Replica) -> None:
+    def _restart(self, replica: parts.Replica) -> None:
         replica.model = engine_model.EngineModel(replica.speed)
         replica.incarnation += 1
         replica.up = True
@@ -450,7 +353,7 @@
             return
         if request.at >= self._warm_up_s:
             self.served.append(
-                Served(
+                parts.Served(
                     request.shape,
                     request.at,
                     first,
@@ -466,5 +369,5 @@
         return spent / (self._seconds * len(self.replicas))
 
 
-def _name(replica: _Replica) -> str:
+def _name(replica: parts.Replica) -> str:
     return replica.name
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -242,6 +242,14 @@
                 settings.router.operators, self._operators.handle
             ),
         ]
+        self._make_peer_server(make_peer_server, generator)
+
+    def _make_peer_server(
+        self,
+        make_peer_server: PeerServerFactory,
+        generator: stream_generator.Generator,
+    ) -> None:
+        settings = self._settings
         handlers = {
             "Ping": self.membership.on_ping,
             "Push": self.distribution.on_push,
