Relay: look at each event once

Change: an event that holds the request's id is kept at once, the end mark is looked for only in others, writing is no coroutine unless the caller is slow.

--- a/bergamotmill/streams/caller_port.py
+++ b/bergamotmill/streams/caller_port.py
@@ -78,13 +78,18 @@
         if self._sink is not None:
             self._sink.write(const.KEEP_ALIVE)
 
-    async def deliver(self, out: list[bytes]) -> None:
-        """Writes events; waits for a slow caller, but not for ever."""
+    def write(self, out: list[bytes]) -> bool:
+        """Writes events; returns whether the caller's side is full."""
         sink = self._sink
-        if sink is None or not out:
-            return
+        if sink is None:
+            return False
         sink.write(out[0] if len(out) == 1 else b"".join(out))
-        if not sink.write_paused:
+        return sink.write_paused
+
+    async def drain(self) -> None:
+        """Waits for a slow caller, but not for ever."""
+        sink = self._sink
+        if sink is None:
             return
         try:
             async with asyncio.timeout(const.CALLER_STALL_S):
--- a/bergamotmill/streams/pump.py
+++ b/bergamotmill/streams/pump.py
@@ -30,6 +30,8 @@
 from bergamotmill.upstream.engine import config
 from bergamotmill.upstream.engine import const as engine_const
 
+_USAGE = b'"usage"'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finished:
@@ -63,7 +65,6 @@
         self._decision: routing_messages.Decision | None = None
         self._first_token_at = 0.0
         self._started_at = shared.now()
-        self._cached_tokens = -1
 
     @property
     def tracker(self) -> run_state.RunTracker:
@@ -179,7 +180,7 @@
         self._journal.complete = True
         number = len(self._journal.events)
         if number > self._port.seen:
-            await self._port.deliver([self._numbering.line(number, const.DONE)])
+            self._port.write([self._numbering.line(number, const.DONE)])
 
     async def _open(self) -> result.Result[None, refusal.Refusal]:
         decided = await self._shared.decide(
@@ -298,45 +299,46 @@
             finally:
                 # What the journal holds must reach the caller, also when
                 # a later event of the same read is bad.
-                await self._port.deliver(out)
+                if out and self._port.write(out):
+                    await self._port.drain()
         stream.finish()
         self._stream = None
 
     def _take(
         self, splitter: sse.EventSplitter, data: bytes, out: list[bytes]
     ) -> None:
-        """Checks and keeps the events in some bytes; fills `out`."""
+        """Checks and keeps the events in some bytes; fills `out`.
+
+        This runs for each token.
+        """
         journal = self._journal
-        line = self._numbering.line
         seen = self._port.seen
         for event in splitter.feed(data):
             if event.startswith(b":"):
                 self._comment(event)
                 continue
-            self._check_event(event)
-            journal.append(event)
-            if sse.is_done(event):
-                journal.complete = True
-            elif numbering.has_usage(event):
-                self._usage(event)
-                if not self._numbering.shown(event):
+            if self._mark in event:
+                journal.append(event)
+                if not self._first_token_at:
+                    self._note_first_token()
+                if _USAGE in event and not self._usage(event):
                     continue
+            elif sse.is_done(event):
+                journal.append(event)
+                journal.complete = True
+            else:
+                raise errors.UpstreamError(
+                    errors.Failure.CROSSED, "an event of another", sent=True
+                )
             number = len(journal.events)
             if number > seen:
-                out.append(line(number, event))
+                out.append(self._numbering.line(number, event))
 
-    def _check_event(self, event: bytes) -> None:
-        if sse.is_done(event):
-            return
-        if self._mark not in event:
-            raise errors.UpstreamError(
-                errors.Failure.CROSSED, "an event of another", sent=True
-            )
-        if not self._first_token_at:
-            self._first_token_at = self._shared.now()
-            self._shared.first_token(
-                self._request, self._first_token_at - self._started_at
-            )
+    def _note_first_token(self) -> None:
+        self._first_token_at = self._shared.now()
+        self._shared.first_token(
+            self._request, self._first_token_at - self._started_at
+        )
 
     def _comment(self, event: bytes) -> None:
         if event.startswith(engine_const.MOVED_COMMENT):
@@ -345,22 +347,24 @@
             )
         self._port.keep_alive()
 
-    def _usage(self, event: bytes) -> None:
+    def _usage(self, event: bytes) -> bool:
+        """Learns from an event with usage; returns whether it is shown."""
+        if not numbering.has_usage(event):
+            return True
         try:
             usage = sse.data_of(event).get("usage") or {}
         except ValueError:
-            return
+            return True
         details = usage.get("prompt_tokens_details") or {}
         cached = details.get("cached_tokens")
-        if cached is None or self._decision is None:
-            return
-        self._cached_tokens = int(cached)
-        self._shared.answered(
-            self._decision,
-            self._cached_tokens,
-            self._first_token_at - self._started_at,
-            self._shared.now() - self._started_at,
-        )
+        if cached is not None and self._decision is not None:
+            self._shared.answered(
+                self._decision,
+                int(cached),
+                self._first_token_at - self._started_at,
+                self._shared.now() - self._started_at,
+            )
+        return self._numbering.shown(event)
 
     def _note_failure(self, err: errors.UpstreamError) -> None:
         loguru.logger.info(
