Drivers are found by folder; unknown ones are findings

Cause: a new key-value driver had to be imported by hand, and a name that no driver has ended in a traceback at the start or at the first use. The demo took a keep-alive comment for the first token. Change: every folder below platform and upstream is loaded; settings and release notes that name an unknown driver or policy get a finding.

--- a/bergamotmill/cli/demo.py
+++ b/bergamotmill/cli/demo.py
@@ -63,8 +63,10 @@
         events: list[bytes] = []
         first = 0.0
         while data := await conn.read():
-            first = first or time.monotonic() - started
-            events += splitter.feed(data)
+            found = splitter.feed(data)
+            if not first and not all(map(sse.is_comment, found)):
+                first = time.monotonic() - started
+            events += found
         self._pool.release(conn)
         if head.status != 200:
             raise RuntimeError(f"status {head.status}: {events}")
--- a/bergamotmill/cli/main.py
+++ b/bergamotmill/cli/main.py
@@ -14,6 +14,7 @@
 from bergamotmill.cli import show
 from bergamotmill.helpers import json_file
 from bergamotmill.settings import config
+from bergamotmill.settings import drivers
 
 EXIT_OK = 0
 EXIT_FINDINGS = 1
@@ -102,8 +103,11 @@
 
 def _check(arguments: argparse.Namespace) -> int:
     loaded = config.load(arguments.file)
-    if loaded.is_err():
-        return _print_findings(loaded.err(), arguments.json)
+    found = loaded.err() or []
+    if loaded.is_ok():
+        found = drivers.check(loaded.ok(), arguments.file)
+    if found:
+        return _print_findings(found, arguments.json)
     if arguments.json:
         print(json.dumps({"findings": []}))
     else:
--- a/bergamotmill/cli/router.py
+++ b/bergamotmill/cli/router.py
@@ -14,11 +14,9 @@
 from bergamotmill import router as bergamotmill_router
 from bergamotmill.helpers import logs
 from bergamotmill.platform import key_value
-from bergamotmill.platform.gateway import config as _gateway  # noqa: F401
-from bergamotmill.platform.memory import config as _memory  # noqa: F401
 from bergamotmill.platform.vm_list import config as vm_config
-from bergamotmill.platform.vm_list import coordinator as _vm_list  # noqa: F401
 from bergamotmill.settings import config
+from bergamotmill.settings import drivers
 from bergamotmill.util import clock as clocks
 
 EXIT_OK = 0
@@ -91,8 +89,11 @@
     """Runs the program and returns its exit status."""
     arguments = _parser().parse_args(argv)
     loaded = config.load(arguments.settings)
-    if loaded.is_err():
-        for finding in loaded.err():
+    found = loaded.err() or []
+    if loaded.is_ok():
+        found = drivers.check(loaded.ok(), arguments.settings)
+    if found:
+        for finding in found:
             print(finding, file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.ok()
--- a/bergamotmill/control/notes.py
+++ b/bergamotmill/control/notes.py
@@ -15,6 +15,8 @@
 from bergamotmill import core
 from bergamotmill.control import note_schema
 from bergamotmill.helpers import findings
+from bergamotmill.helpers import integrations
+from bergamotmill.upstream import drivers
 
 Entries = Mapping[str, Mapping[str, Any]]
 
@@ -187,6 +189,7 @@
 ) -> Iterator[findings.Finding]:
     yield from _customer_findings(after, draft, source)
     yield from _model_findings(after, source)
+    yield from _driver_findings(after, source)
     yield from _key_findings(after, draft, source)
 
 
@@ -212,6 +215,21 @@
                 )
 
 
+def _driver_findings(after, source):
+    integrations.load("bergamotmill.upstream")
+    for kind, entries, known in (
+        ("replicas", after.replicas, drivers.ENGINES),
+        ("services", after.services, drivers.SERVICES),
+    ):
+        for entry in entries.values():
+            if entry.driver not in known.names():
+                yield findings.Finding(
+                    f"{source}: {kind}.{entry.name}.driver",
+                    repr(entry.driver),
+                    f"one of {known.names()}",
+                )
+
+
 def _model_findings(after, source):
     for replica in after.replicas.values():
         for model in replica.models:
--- /dev/null
+++ b/bergamotmill/settings/drivers.py
@@ -0,0 +1,37 @@
+"""Checks that the drivers and the policy that settings name exist."""
+
+from bergamotmill.helpers import findings
+from bergamotmill.helpers import integrations
+from bergamotmill.platform import key_value
+from bergamotmill.platform.vm_list import config as vm_config
+from bergamotmill.routing import decision
+from bergamotmill.settings import config
+from bergamotmill.util import registry
+
+INTEGRATIONS = ("bergamotmill.platform", "bergamotmill.upstream")
+
+
+def check(settings: config.Settings, source: str) -> list[findings.Finding]:
+    """Loads all integrations and returns findings on unknown names."""
+    for package in INTEGRATIONS:
+        integrations.load(package)
+    named: tuple[tuple[str, str, registry.Registry], ...] = (
+        (
+            "platform.key_value.driver",
+            settings.key_value.driver,
+            key_value.DRIVERS,
+        ),
+        (
+            "platform.vm_list.driver",
+            settings.vm_list.driver,
+            vm_config.DRIVERS,
+        ),
+        ("routing.policy", settings.routing.policy, decision.POLICIES),
+    )
+    return [
+        findings.Finding(
+            f"{source}: {place}", repr(name), f"one of {known.names()}"
+        )
+        for place, name, known in named
+        if name not in known.names()
+    ]
--- a/tests/control/test_releases.py
+++ b/tests/control/test_releases.py
@@ -86,6 +86,11 @@
         ):
             self.assertTrue(self.places(bad), bad)
 
+    def test_unknown_driver_is_found(self):
+        changed = draft(changed={"replicas": {"a": {"driver": "nope"}}})
+        places = self.places(changed)
+        self.assertEqual(places, ["note: replicas.a.driver"])
+
     def test_key_of_two_customers_is_found(self):
         key = core.key_digest("k")
         both = {
--- /dev/null
+++ b/tests/helpers/test_integrations.py
@@ -0,0 +1,26 @@
+import unittest
+
+from bergamotmill.helpers import integrations
+from bergamotmill.platform import key_value
+from bergamotmill.platform.vm_list import config as vm_config
+from bergamotmill.upstream import drivers
+
+
+class IntegrationsTest(unittest.TestCase):
+    def test_all_folders_register_themselves(self):
+        found = integrations.load("bergamotmill.platform")
+        self.assertEqual(sorted(found), ["gateway", "memory", "vm_list"])
+        self.assertEqual(key_value.DRIVERS.names(), ["gateway", "memory"])
+        self.assertEqual(vm_config.DRIVERS.names(), ["http"])
+        integrations.load("bergamotmill.upstream")
+        self.assertIn("engine", drivers.ENGINES.names())
+        self.assertIn("plain", drivers.SERVICES.names())
+
+    def test_unknown_driver_names_the_known_ones(self):
+        with self.assertRaises(KeyError) as caught:
+            drivers.ENGINES.get("nope")
+        self.assertIn("engine", str(caught.exception))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/settings/test_config.py
+++ b/tests/settings/test_config.py
@@ -6,6 +6,7 @@
 from bergamotmill.control import notes
 from bergamotmill.helpers import json_file
 from bergamotmill.settings import config
+from bergamotmill.settings import drivers
 
 EXAMPLES = pathlib.Path("examples")
 
@@ -42,6 +43,15 @@
         ):
             self.assertIn(part, found)
 
+    def test_unknown_drivers_and_policies_are_findings(self):
+        self.value["platform"]["key_value"]["driver"] = "nope"
+        self.value["routing"]["policy"] = "guess"
+        settings = config.from_mapping(self.value, "s.json").unwrap()
+        found = " | ".join(map(str, drivers.check(settings, "s.json")))
+        self.assertIn("s.json: platform.key_value.driver: 'nope'", found)
+        self.assertIn("'gateway'", found)
+        self.assertIn("routing.policy", found)
+
     def test_host_names_are_not_addresses(self):
         self.value["router"]["peer"] = "vm-1.example:90"
         self.assertIn("router.peer", self.findings())
