--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -12,6 +12,7 @@
 from bergamotmill.bench import policy
 from bergamotmill.bench import processes
 from bergamotmill.bench import relay
+from bergamotmill.bench import slopes
 from bergamotmill.bench import soak
 
 COMMANDS = {
@@ -19,6 +20,7 @@
     "decision": decision,
     "control": control,
     "limits": limits,
+    "slopes": slopes,
     "processes": processes,
     "soak": soak,
     "relay": relay,
--- /dev/null
+++ b/bergamotmill/bench/slopes.py
@@ -0,0 +1,145 @@
+"""`bench slopes`: small costs that grow with prompts and the fleet."""
+
+import argparse
+from collections.abc import Callable
+import gc
+import json
+import random
+import time
+import tracemalloc
+from typing import Any
+
+from bergamotmill import core
+from bergamotmill.control import members as fleet_members
+from bergamotmill.control import membership as fleet_membership
+from bergamotmill.front import addresses
+from bergamotmill.routing import chain as prefix_chain
+from bergamotmill.routing import locations as prefix_locations
+from bergamotmill.streams import body as engine_body
+
+PATH = "/v1/chat/completions"
+PROMPTS_KB = (16, 96, 400)
+FLEETS = (7, 340, 3400)
+LOCATIONS = 100_000
+REPLICAS = 526
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the command's options."""
+    parser.add_argument("--repeats", type=int, default=50)
+
+
+def _time_us(action: Callable[[], object], repeats: int) -> float:
+    started = time.perf_counter()
+    for _ in range(repeats):
+        action()
+    return (time.perf_counter() - started) / repeats * 1e6
+
+
+def _body_us(size_kb: int, repeats: int) -> float:
+    """Times reading a body, digesting its prompt, and writing it again."""
+    message = {"role": "user", "content": "word " * (size_kb * 200)}
+    data = json.dumps({"model": "m", "messages": [message]}).encode()
+
+    def handle() -> bytes:
+        value = json.loads(data)
+        text = engine_body.prompt_text(PATH, value)
+        prefix_chain.build(text, b"salt", 8000, 2000)
+        return json.dumps(value).encode()
+
+    return _time_us(handle, repeats)
+
+
+def _subset_us(routers: int, repeats: int) -> float:
+    """Times finding a customer's routers after a change of the fleet."""
+    alive = tuple(
+        fleet_members.Member(
+            f"vm-{index}",
+            1,
+            fleet_members.MemberState.ALIVE,
+            0,
+            "10.0.0.1:90",
+            "10.0.0.1:80",
+            "dc",
+        )
+        for index in range(routers)
+    )
+    book = addresses.AddressBook(
+        lambda: alive, 10.0, lambda name: "", random.Random(1)
+    )
+    customer = core.Customer("customer")
+
+    def find() -> object:
+        book.changed()
+        return book.subset(customer)
+
+    return _time_us(find, repeats)
+
+
+def _alive_us(routers: int, repeats: int) -> dict[str, float]:
+    """Times listing the living routers, after a change and between."""
+    own = fleet_members.Member(
+        "vm-0", 1, fleet_members.MemberState.ALIVE, 0, "a:1", "a:2", "dc"
+    )
+    view = fleet_membership.Membership(
+        own, None, random.Random(1), time.monotonic, lambda: 0
+    )
+    for index in range(1, routers):
+        view._put(
+            fleet_members.Member(
+                f"vm-{index}",
+                1,
+                fleet_members.MemberState.ALIVE,
+                0,
+                "a:1",
+                "a:2",
+                "dc",
+            )
+        )
+
+    def list_anew() -> object:
+        view._changed()
+        return view.alive()
+
+    return {
+        "after_a_change_us": _time_us(list_anew, repeats),
+        "between_us": _time_us(view.alive, repeats),
+    }
+
+
+def _location_bytes() -> float:
+    """Measures the memory of one known location."""
+    index = prefix_locations.Locations(LOCATIONS)
+    names = [f"replica-{number}" for number in range(REPLICAS)]
+    for name in names:
+        index.invalidate(name)
+    rng = random.Random(1)
+    gc.collect()
+    tracemalloc.start()
+    for number in range(LOCATIONS):
+        name = names[number % REPLICAS]
+        index.learn("customer", rng.getrandbits(64), name, float(number))
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return kept / LOCATIONS
+
+
+def run(arguments: argparse.Namespace) -> dict[str, Any]:
+    """Measures each cost at several sizes."""
+    repeats = arguments.repeats
+    return {
+        "body_us_by_kb": {kb: _body_us(kb, repeats) for kb in PROMPTS_KB},
+        "subset_us_by_routers": {
+            routers: _subset_us(routers, repeats) for routers in FLEETS
+        },
+        "alive_by_routers": {
+            routers: _alive_us(routers, repeats) for routers in FLEETS
+        },
+        "bytes_per_location": _location_bytes(),
+    }
+
+
+def show(result: dict[str, Any]) -> None:
+    """Prints the figures."""
+    for key, value in result.items():
+        print(f"{key}: {value}")
