Streams: resume after a move between engines without a gap

An engine that goes on with a stream numbers its own events from 1, journals count from the stream's start. Resuming at that engine, in the same pump after silence or at another router, skipped as many events as came before the move. Also: the retry-storm test is back at 80% load over 300 s; it had been eased to 70% while it was being written, since recovery takes over 120 s at 80%. Three new tests fail on the old code.

--- a/bergamotmill/streams/generator.py
+++ b/bergamotmill/streams/generator.py
@@ -49,6 +49,11 @@
         self._journal = journal
         self._lines = lines
 
+    @property
+    def journal(self) -> stream_journal.Journal:
+        """The stream's events."""
+        return self._journal
+
     async def serve(
         self, sink: messages.Sink, seen: int
     ) -> stream_pump.Finished:
@@ -127,12 +132,12 @@
             )
         where, seen = parsed
         pump = self._shared.pumps.get(where.request_id)
-        if pump is not None and pump.request.customer.name == customer:
-            return result.Ok((pump, seen))
-        pump = await self._take_over_once(request, where)
-        if pump is None:
+        if pump is None or pump.request.customer.name != customer:
+            pump = await self._take_over_once(request, where)
+            self._shared.metrics.count("streams.taken_over")
+        # What the caller lacks must be there, not only what follows it.
+        if pump is None or pump.journal.base > seen:
             return result.Err(_lost())
-        self._shared.metrics.count("streams.taken_over")
         return result.Ok((pump, seen))
 
     async def _take_over_once(
@@ -159,11 +164,12 @@
             return EndedStream(ended, lines)
         stream = await self._from_engine(where)
         if stream is not None:
-            return self._adopt(request, where, (), stream)
+            return self._adopt(request, where, (), stream, where.base)
         tail = await self._from_router(request, where)
         if tail is None:
             return None
-        return self._adopt(request, where, tuple(tail.events), None)
+        events = tuple(tail.events)
+        return self._adopt(request, where, events, None, tail.base)
 
     async def _from_engine(self, where: stream_id.StreamId):
         link = self._shared.links.get(where.replica)
@@ -208,6 +214,7 @@
         where: stream_id.StreamId,
         events: tuple[bytes, ...],
         stream: object | None,
+        base: int,
     ) -> stream_pump.Pump:
         # A stream goes on with the weights it began with.
         model = dataclasses.replace(request.model, serving=where.version)
@@ -217,6 +224,7 @@
         journal = self._shared.journals.replace(
             where.request_id, request.customer.name
         )
+        journal.base = base
         for event in events:
             journal.append(event)
             journal.complete = sse.is_done(event)
@@ -236,7 +244,10 @@
         if pump is not None:
             await pump.stop()
         return peer_pb2.TailReply(
-            found=True, events=journal.events, complete=journal.complete
+            found=True,
+            events=journal.events,
+            complete=journal.complete,
+            base=journal.base,
         )
 
 
--- a/bergamotmill/streams/journal.py
+++ b/bergamotmill/streams/journal.py
@@ -11,18 +11,26 @@
 
     Attributes:
         customer: whose stream it is.
-        events: from the first; none is missing or doubled.
+        base: events before the first that is held here; above 0 when the
+            stream was taken over after it had moved between engines.
+        events: the events after those; none is missing or doubled.
         complete: whether the last event ended the stream.
     """
 
-    __slots__ = ("complete", "customer", "events", "size")
+    __slots__ = ("base", "complete", "customer", "events", "size")
 
     def __init__(self, customer: str):
         self.customer = customer
+        self.base = 0
         self.events: list[bytes] = []
         self.complete = False
         self.size = 0
 
+    @property
+    def count(self) -> int:
+        """The number of the latest event, counted from the stream's start."""
+        return self.base + len(self.events)
+
     def append(self, event: bytes) -> None:
         """Adds the next event."""
         if self.complete:
--- a/bergamotmill/streams/numbering.py
+++ b/bergamotmill/streams/numbering.py
@@ -17,7 +17,8 @@
     """Writes event ids under one token.
 
     An event's number is its place among all events of the stream, hidden
-    ones included, so that it means the same to engines and routers.
+    ones included. An engine that went on with a stream counts only its own;
+    the token's base is what came before them.
     """
 
     __slots__ = ("_prefix", "_show_usage")
@@ -44,6 +45,6 @@
         self, journal: stream_journal.Journal, seen: int
     ) -> Iterator[bytes]:
         """Gives the events after the first `seen`."""
-        for number, event in enumerate(journal.events, 1):
+        for number, event in enumerate(journal.events, journal.base + 1):
             if number > seen and self.shown(event):
                 yield self.line(number, event)
--- a/bergamotmill/streams/pump.py
+++ b/bergamotmill/streams/pump.py
@@ -56,6 +56,8 @@
         self._task: asyncio.Task[Finished] | None = None
         self._stream = None
         self._replica = ""
+        # Events of the stream before the present engine's own first one.
+        self._base = 0
         self._numbering = numbering.Numbering(request.show_usage)
         self._port = caller_port.CallerPort(
             journal, self._numbering, self._cancel
@@ -96,6 +98,7 @@
         if at is not None:
             self._tracker.sending()
             self._replica = at.replica
+            self._base = at.base
             self._set_prefix(at.replica_incarnation)
         self._task = asyncio.create_task(self._run())
 
@@ -162,6 +165,8 @@
                     if assemble.is_finished(self._journal.events):
                         await self._close_finished()
                         return None
+                    if self._journal.base:
+                        return self._lost()
                     opened = await self._open()
                     if opened.is_err():
                         return opened.err()
@@ -174,11 +179,16 @@
                 if refused is not None:
                     return refused
 
+    def _lost(self) -> refusal.Refusal:
+        return self._refuse(
+            410, refusal.CODE_STREAM_LOST, "the stream's beginning is lost"
+        )
+
     async def _close_finished(self) -> None:
         """Ends a stream whose engine died after the last token."""
         self._journal.append(const.DONE)
         self._journal.complete = True
-        number = len(self._journal.events)
+        number = self._journal.count
         if number > self._port.seen:
             self._port.write([self._numbering.line(number, const.DONE)])
 
@@ -216,6 +226,7 @@
             if not err.ran:
                 self._tracker.refused_unrun()
             raise
+        self._base = self._journal.count
         self._check_head(decision, self._stream.head)
         self._set_prefix(self._stream.head.incarnation)
         return result.Ok(None)
@@ -280,6 +291,7 @@
             self._replica,
             replica_incarnation,
             self._request.model.served_version,
+            self._base,
         ).token(self._shared.fleet_key, self._request.customer.name)
         self._numbering.set_token(token)
 
@@ -330,7 +342,7 @@
                 raise errors.UpstreamError(
                     errors.Failure.CROSSED, "an event of another", sent=True
                 )
-            number = len(journal.events)
+            number = journal.count
             if number > seen:
                 out.append(self._numbering.line(number, event))
 
@@ -403,7 +415,7 @@
         link = self._shared.links.get(self._replica)
         if link is None:
             return False
-        seen = len(self._journal.events)
+        seen = self._journal.count - self._base
         try:
             self._stream = await link.resume(self._request.request_id, seen)
         except errors.UpstreamError:
@@ -430,9 +442,7 @@
         self._excluded.add(self._replica)
         if err.ran and not self._request.request_class.idempotent:
             return self._give_up(err)
-        if self._journal.events and not engine_body.may_continue(
-            self._request.body
-        ):
+        if self._journal.count and not self._may_continue():
             return self._give_up(err)
         if err.ran and not self._shared.try_retry():
             return self._give_up(err)
@@ -440,6 +450,12 @@
         self._shared.metrics.count(f"streams.{name}")
         return None
 
+    def _may_continue(self) -> bool:
+        """Whether the text so far is known and enough to go on from."""
+        if self._journal.base:
+            return False
+        return engine_body.may_continue(self._request.body)
+
     def _pass_on(self, err: errors.UpstreamError) -> refusal.Refusal:
         message = err.body.decode("utf-8", "replace")[:500] or str(err)
         try:
--- a/bergamotmill/streams/stream_id.py
+++ b/bergamotmill/streams/stream_id.py
@@ -13,7 +13,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamId:
-    """Where a stream runs."""
+    """Where a stream runs.
+
+    Attributes:
+        base: events of the stream before the replica's own first one.
+    """
 
     request_id: str
     router: str
@@ -21,6 +25,7 @@
     replica: str
     replica_incarnation: int
     version: str
+    base: int = 0
 
     def token(self, fleet_key: str, customer: str) -> str:
         """Returns the signed form."""
@@ -36,6 +41,7 @@
                 self.replica,
                 str(self.replica_incarnation),
                 self.version,
+                str(self.base),
             )
         )
 
@@ -47,7 +53,7 @@
     token, _, seen = event_id.rpartition(":")
     text, _, mac = token.rpartition("~")
     parts = text.split("~")
-    if len(parts) != 6 or not seen.isdecimal():
+    if len(parts) != 7 or not seen.isdecimal():
         return None
     if mac != _mac(text, fleet_key, customer):
         return None
@@ -59,6 +65,7 @@
             parts[3],
             int(parts[4]),
             parts[5],
+            int(parts[6]),
         )
     except ValueError:
         return None
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -20,7 +20,7 @@
         loguru.logger.remove()
 
     def test_fixed_seeds_break_no_promise(self):
-        for seed in (1, 2, 3, 17, 39):
+        for seed in (1, 2, 3, 17, 39, 5070):
             with self.subTest(seed=seed):
                 tally = soak.Soak(seed, STEPS, ALL).run()
                 self.assertEqual(tally.violations, [])
--- a/tests/routing/test_limits.py
+++ b/tests/routing/test_limits.py
@@ -76,14 +76,14 @@
 
 
 class RetryStormTest(unittest.TestCase):
-    """An outage of five seconds; does the load come back to normal?"""
+    """An outage of five seconds at 80% load; does it come back to normal?"""
 
     def queue_after(self, with_budget):
-        capacity, arrivals, patience = 10, 7, 1
+        capacity, arrivals, patience = 10, 8, 1
         budget = retry_budget.RetryBudget(0.0)
         budget._saved = 0.0
         queue, retries = 0.0, []
-        for second in range(120):
+        for second in range(300):
             served = 0 if second < 5 else capacity
             offered = arrivals + (retries.pop(0) if retries else 0)
             for _ in range(arrivals):
--- a/tests/streams/test_events.py
+++ b/tests/streams/test_events.py
@@ -59,7 +59,7 @@
 
 class StreamIdTest(unittest.TestCase):
     def test_is_bound_to_customer_and_fleet(self):
-        where = stream_id.StreamId("r", "vm-1", 5, "engine-1", 7, "v1")
+        where = stream_id.StreamId("r", "vm-1", 5, "engine-1", 7, "v1", 3)
         event_id = where.token("key", "one") + ":12"
         self.assertEqual(stream_id.parse(event_id, "key", "one"), (where, 12))
         self.assertIsNone(stream_id.parse(event_id, "key", "two"))
--- a/tests/streams/test_streams.py
+++ b/tests/streams/test_streams.py
@@ -69,6 +69,49 @@
 
         self.run_cluster(scenario)
 
+    async def moved(self, tokens):
+        """Begins a stream and has it go on at another engine."""
+        task = await self.begin(router=0, tokens=tokens)
+        await self.cluster.crash_engine(self.serving())
+        while not self.count("streams.continued"):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(4.0)
+        return task
+
+    def test_stream_that_moved_is_taken_over_without_a_gap(self):
+        async def scenario():
+            task = await self.moved(200)
+            await self.cluster.crash_router(0)
+            got = await task
+            self.assert_whole(got, 200)
+            self.assertEqual(got.resumes, 1)
+
+        self.run_cluster(scenario)
+
+    def test_stream_that_moved_is_resumed_after_silence_without_a_gap(self):
+        async def scenario():
+            task = await self.moved(300)
+            host = cluster.engine_host(self.serving())
+            self.network.silence(cluster.router_host(0), host)
+            got = await task
+            self.assert_whole(got, 300)
+            self.assertEqual(self.count("streams.resumed"), 1)
+
+        self.run_cluster(scenario)
+
+    def test_stream_that_moved_and_lost_its_beginning_ends_in_an_error(self):
+        async def scenario():
+            task = await self.moved(400)
+            await self.cluster.crash_router(0)
+            await asyncio.sleep(2.0)
+            await self.cluster.crash_engine(self.serving())
+            got = await task
+            self.assertFalse(got.whole)
+            words = got.text.split()
+            self.assertEqual(words, [f"t{i}" for i in range(len(words))])
+
+        self.run_cluster(scenario)
+
     def test_two_resume_the_same_stream_at_once(self):
         async def scenario():
             task = await self.begin(router=0, tokens=100)
