--- a/bergamotmill/bench/control.py
+++ b/bergamotmill/bench/control.py
@@ -23,11 +23,11 @@
 from bergamotmill.control import notes
 from bergamotmill.control import peers as peer_links
 from bergamotmill.control import release_store
-from bergamotmill.platform.memory import coordinator as memory_store
-from bergamotmill.platform.vm_list import config as vm_config
-from bergamotmill.platform.vm_list import const as vm_const
 from bergamotmill.proto import peer_pb2
 from bergamotmill.standin import peer_bus
+from bergamotmill.storage.memory import coordinator as memory_store
+from bergamotmill.storage.vm_list import config as vm_config
+from bergamotmill.storage.vm_list import const as vm_const
 from bergamotmill.util import ids as id_source
 from bergamotmill.util import memory_network
 
--- a/bergamotmill/bench/faults.py
+++ b/bergamotmill/bench/faults.py
@@ -5,9 +5,9 @@
 import dataclasses
 import random
 
-from bergamotmill.platform.vm_list import const as vm_const
 from bergamotmill.standin import cluster as standin_cluster
 from bergamotmill.standin import engine
+from bergamotmill.storage.vm_list import const as vm_const
 from bergamotmill.util import registry
 
 Inject = Callable[["Faults"], Awaitable[None]]
--- a/bergamotmill/cli/router.py
+++ b/bergamotmill/cli/router.py
@@ -13,10 +13,10 @@
 import bergamotmill
 from bergamotmill import router as bergamotmill_router
 from bergamotmill.helpers import logs
-from bergamotmill.platform import key_value
-from bergamotmill.platform.vm_list import config as vm_config
 from bergamotmill.settings import config
 from bergamotmill.settings import drivers
+from bergamotmill.storage import key_value
+from bergamotmill.storage.vm_list import config as vm_config
 from bergamotmill.util import clock as clocks
 
 EXIT_OK = 0
--- a/bergamotmill/control/distribution.py
+++ b/bergamotmill/control/distribution.py
@@ -19,8 +19,8 @@
 from bergamotmill.control import pages as config_pages
 from bergamotmill.control import peers as peer_links
 from bergamotmill.control import release_store
-from bergamotmill.platform import key_value
 from bergamotmill.proto import peer_pb2
+from bergamotmill.storage import key_value
 from bergamotmill.util import backoff
 from bergamotmill.util import rendezvous
 from bergamotmill.util import tasks as background
--- a/bergamotmill/control/membership.py
+++ b/bergamotmill/control/membership.py
@@ -17,9 +17,9 @@
 from bergamotmill.control import const
 from bergamotmill.control import members
 from bergamotmill.control import peers as peer_links
-from bergamotmill.platform.vm_list import config as vm_config
-from bergamotmill.platform.vm_list import const as vm_const
 from bergamotmill.proto import peer_pb2
+from bergamotmill.storage.vm_list import config as vm_config
+from bergamotmill.storage.vm_list import const as vm_const
 
 State = members.MemberState
 
@@ -149,6 +149,18 @@
             *(self.probe(name) for name in names[: const.JOIN_PROBES])
         )
 
+    async def announce(self) -> None:
+        """Tells all routers that may be alive of this one's state."""
+        names = [
+            member.name
+            for member in self._members.values()
+            if member.state in (State.ALIVE, State.SUSPECT)
+            and member.name != self._own.name
+        ]
+        await asyncio.gather(
+            *(self._ping(name, "") for name in names[: const.JOIN_PROBES])
+        )
+
     async def run(self) -> None:
         """Probes for ever."""
         while True:
--- a/bergamotmill/control/orders.py
+++ b/bergamotmill/control/orders.py
@@ -20,11 +20,10 @@
 from bergamotmill import core
 from bergamotmill.control import const
 from bergamotmill.control import history as fleet_history
+from bergamotmill.control import holder as fencing_holder
 from bergamotmill.control import notes
-from bergamotmill.platform import key_value
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.upstream.engine import config
-from bergamotmill.upstream.engine import const as engine_const
 from bergamotmill.util import clock as clocks
 
 Publish = Callable[[notes.Draft, str], Awaitable[result.Result]]
@@ -190,88 +189,12 @@
     return orders
 
 
-class Holder:
-    """The lease under which orders are given."""
-
-    def __init__(
-        self,
-        store: key_value.KeyValueStore,
-        key: str,
-        value: bytes,
-        clock: clocks.Clock,
-    ):
-        self._store = store
-        self._key = key
-        self._value = value
-        self._clock = clock
-        self._lease = 0
-        self._until = 0.0
-        self._fencing = 0
-        self._taken_at = 0.0
-
-    @property
-    def fencing(self) -> int:
-        """The fencing number; grows from holder to holder."""
-        return self._fencing
-
-    def time_left(self) -> float:
-        """Returns seconds for which orders may surely be given."""
-        if not self._fencing:
-            return 0.0
-        return self._until - const.HOLDER_MARGIN_S - self._clock.boottime()
-
-    def settled(self) -> bool:
-        """Whether an older holder's last orders have surely arrived."""
-        waited = self._clock.boottime() - self._taken_at
-        return waited >= engine_const.ORDER_TIMEOUT_S
-
-    async def keep(self) -> bool:
-        """Takes or renews the lease; False when it is not held."""
-        # The lease counts from before the call, lest the answer was slow.
-        before = self._clock.boottime()
-        if self._fencing:
-            renewed = await self._store.renew(self._lease)
-            if renewed.is_ok() and renewed.ok():
-                self._until = before + const.HOLDER_LEASE_S
-                return self.time_left() > 0
-            if renewed.is_err():
-                return self.time_left() > 0
-            self._fencing = 0
-        return await self._take()
-
-    async def _take(self) -> bool:
-        before = self._clock.boottime()
-        found = await self._store.get(self._key)
-        if found.is_err() or found.ok() is not None:
-            return False
-        granted = await self._store.grant(const.HOLDER_LEASE_S)
-        if granted.is_err():
-            return False
-        lease = granted.ok()
-        written = await self._store.put(self._key, self._value, 0, lease)
-        if written.is_err():
-            # The put may have taken effect; the lease takes it away again.
-            await self._store.revoke(lease)
-            return False
-        self._lease = lease
-        self._fencing = written.ok()
-        self._until = before + const.HOLDER_LEASE_S
-        self._taken_at = self._clock.boottime()
-        return self.time_left() > 0
-
-    async def release(self) -> None:
-        """Gives the lease up, so that another may take it at once."""
-        if self._fencing:
-            self._fencing = 0
-            await self._store.revoke(self._lease)
-
-
 class OrderDesk:
     """Works towards the configuration while it holds the lease."""
 
     def __init__(
         self,
-        holder: Holder,
+        holder: fencing_holder.Holder,
         view: fleet_view.FleetView,
         links: Mapping[str, object],
         max_loading: int,
--- a/bergamotmill/control/peers.py
+++ b/bergamotmill/control/peers.py
@@ -22,6 +22,7 @@
     "Borrow",
     "Notify",
     "Status",
+    "Documents",
 )
 METADATA_KEY = "x-fleet-key"
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
@@ -118,8 +119,10 @@
 
     def __init__(self, handlers: Mapping[str, Handler], token: str):
         self._token = token
+        # What has no handler keeps the base's answer: not implemented.
         for method in METHODS:
-            setattr(self, method, self._serve(handlers[method]))
+            if method in handlers:
+                setattr(self, method, self._serve(handlers[method]))
 
     def _serve(self, handler: Handler):
         async def serve(request, context):
--- a/bergamotmill/control/release_desk.py
+++ b/bergamotmill/control/release_desk.py
@@ -16,7 +16,7 @@
 from bergamotmill.control import notes
 from bergamotmill.control import release_store
 from bergamotmill.helpers import findings
-from bergamotmill.platform import key_value
+from bergamotmill.storage import key_value
 from bergamotmill.util import tasks as background
 
 IN_FORCE_CHECK_S = 0.25
--- a/bergamotmill/control/release_store.py
+++ b/bergamotmill/control/release_store.py
@@ -17,7 +17,7 @@
 from bergamotmill.control import notes
 from bergamotmill.control import pages as config_pages
 from bergamotmill.helpers import findings
-from bergamotmill.platform import key_value
+from bergamotmill.storage import key_value
 from bergamotmill.util import ids as id_source
 
 
--- /dev/null
+++ b/bergamotmill/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Forwards requests unchanged to the upstreams of their route."""
--- /dev/null
+++ b/bergamotmill/dispatch/config.py
@@ -0,0 +1,181 @@
+"""The operators' configuration as the dispatcher uses it."""
+
+from collections.abc import Iterable, Mapping
+import dataclasses
+import enum
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """A service's part of a route's traffic; weights need not sum to 1."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one host whose path begins with a prefix.
+
+    Attributes:
+        timeout_s: the longest time that a caller is kept waiting.
+        target_s: first byte (streams) or whole answer due for full credit.
+        priority: rank of the requests; 0 is the most urgent.
+        max_attempts: upstreams that one request may run on.
+        anonymous: whether requests need no key.
+        resumable: whether a stream may go on at another upstream.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout_s: float
+    target_s: float
+    priority: int
+    shares: tuple[Share, ...]
+    max_attempts: int = 1
+    anonymous: bool = False
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        if self.kind is RequestKind.STREAM:
+            return self.resumable
+        return self.kind is RequestKind.IDEMPOTENT
+
+    @property
+    def streams(self) -> bool:
+        """Whether answers are passed on event by event."""
+        return self.kind is RequestKind.STREAM
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineTraits:
+    """What all engines of a service have in common.
+
+    Attributes:
+        memory_tokens: KV memory of one engine.
+        token_bytes: KV bytes of one token.
+        watchers: cache-event calls that one engine holds at once.
+    """
+
+    slots: int
+    memory_tokens: int
+    token_bytes: int
+    watchers: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A group of alike upstreams."""
+
+    name: str
+    health_path: str = ""
+    max_connections: int = 0
+    engine: EngineTraits | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptStore:
+    """A store of kept KV cache."""
+
+    name: str
+    address: str
+    data_centre: str
+    memory_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Customer:
+    """Who a request is served for.
+
+    Attributes:
+        priority: goes before the route's when set.
+        isolated: whether no KV cache is shared with other customers.
+    """
+
+    name: str
+    priority: int | None = None
+    isolated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Bounds on what callers send and how long they take."""
+
+    head_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Catalog:
+    """An immutable snapshot of routes, services and customers."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: Iterable[Route] = (),
+        services: Iterable[Service] = (),
+        stores: Iterable[KeptStore] = (),
+        customers: Mapping[str, Customer] | None = None,
+        limits: CallerLimits | None = None,
+    ):
+        self._version = version
+        self._routes: dict[str, list[Route]] = {}
+        for route in routes:
+            self._routes.setdefault(route.host, []).append(route)
+        for found in self._routes.values():
+            found.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._services = {service.name: service for service in services}
+        self._stores = tuple(stores)
+        self._customers = customers
+        self._limits = limits or CallerLimits()
+
+    @property
+    def version(self) -> int:
+        """The version; 0 before the first configuration."""
+        return self._version
+
+    @property
+    def services(self) -> Mapping[str, Service]:
+        """Services by name."""
+        return self._services
+
+    @property
+    def stores(self) -> tuple[KeptStore, ...]:
+        """Stores of kept KV cache."""
+        return self._stores
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Bounds on callers."""
+        return self._limits
+
+    @property
+    def has_customers(self) -> bool:
+        """Whether requests need a key at all."""
+        return self._customers is not None
+
+    def route_of(self, host: str, path: str) -> Route | None:
+        """Returns the host's route with the longest matching prefix."""
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def customer_of(self, key: str) -> Customer | None:
+        """Returns the holder of a key."""
+        if self._customers is None:
+            return None
+        return self._customers.get(key)
--- /dev/null
+++ b/bergamotmill/dispatch/daemon.py
@@ -0,0 +1,343 @@
+"""One dispatching router: builds the tree of its parts and runs it."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+from typing import Protocol
+
+from bergamotmill import supervisor
+from bergamotmill.control import const as control_const
+from bergamotmill.control import holder as fencing_holder
+from bergamotmill.control import members as fleet_members
+from bergamotmill.control import membership as fleet_membership
+from bergamotmill.control import peers as peer_links
+from bergamotmill.dispatch import config
+from bergamotmill.dispatch import const
+from bergamotmill.dispatch import directory
+from bergamotmill.dispatch import dispatcher as call_dispatcher
+from bergamotmill.dispatch import documents
+from bergamotmill.dispatch import fleet as fleet_state
+from bergamotmill.dispatch import placement
+from bergamotmill.dispatch import ports
+from bergamotmill.dispatch import rollout
+from bergamotmill.dispatch import roster
+from bergamotmill.dispatch import settings as router_settings
+from bergamotmill.helpers import decisions
+from bergamotmill.helpers import http_server
+from bergamotmill.helpers import metrics as stats
+from bergamotmill.routing import window_budget
+from bergamotmill.storage import key_value
+from bergamotmill.storage.vm_list import config as vm_config
+from bergamotmill.storage.vm_list import const as vm_const
+from bergamotmill.util import clock as clocks
+from bergamotmill.util import rendezvous
+
+BOOT_PERIOD_S = 0.2
+# Parts of the shared budget that are left unused, for views that differ.
+BUDGET_PART = 0.85
+LEAST_ROUTERS = 2
+# After a signal: how long answers of the directory are still followed, and
+# when no new request is begun, both before the grace period ends.
+LINGER_S = 5.0
+LAST_REQUEST_S = 1.5
+END_S = 0.5
+
+
+class Link(ports.UpstreamLink, rollout.OrderLink, Protocol):
+    """Everything that goes to upstreams."""
+
+    def close(self) -> None:
+        """Closes idle connections."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dialect:
+    """How one platform names and says things.
+
+    Attributes:
+        front: makes the handler of callers' requests.
+        directory: makes the handler of questions where to connect.
+        ready: makes the handler of readiness checks.
+    """
+
+    decoder: fleet_state.Decoder
+    link: Link
+    router_key: Callable[[str], str]
+    router_value: Callable[[fleet_state.RouterEntry], bytes]
+    holder_key: str
+    front: Callable[
+        [fleet_state.Fleet, call_dispatcher.Dispatcher, Callable[[], float]],
+        http_server.Handler,
+    ]
+    directory: Callable[[directory.Directory], http_server.Handler]
+    ready: Callable[[Callable[[], bool]], http_server.Handler]
+
+
+class Daemon:
+    """Owns all parts of one router."""
+
+    def __init__(
+        self,
+        settings: router_settings.Settings,
+        store: key_value.RevisionedStore,
+        dialect: Dialect,
+        clock: clocks.Clock,
+        rng: random.Random,
+        incarnation: int,
+        make_peers=peer_links.GrpcPeers,
+        make_peer_server=peer_links.GrpcPeerServer,
+    ):
+        self._settings = settings
+        self._store = store
+        self._dialect = dialect
+        self._clock = clock
+        self._rng = rng
+        self._incarnation = incarnation
+        self._leaving = False
+        self._supervisor = supervisor.Supervisor("router", rng)
+        self.metrics = stats.Metrics()
+        self._peers = make_peers(settings.fleet_key, self._peer_address)
+        self._make_control()
+        self._make_dispatch()
+        self._make_servers(make_peer_server)
+
+    def _make_control(self) -> None:
+        own = self._settings.router
+        now = self._clock.monotonic
+        self.feed = documents.DocumentFeed(
+            self._store, "", self._peers, now, self._rng
+        )
+        self.fleet = fleet_state.Fleet(self.feed, self._dialect.decoder, now)
+        self.membership = fleet_membership.Membership(
+            fleet_members.Member(
+                own.name,
+                self._incarnation,
+                fleet_members.MemberState.ALIVE,
+                0,
+                own.peer,
+                own.front,
+                own.data_centre,
+            ),
+            self._peers,
+            self._rng,
+            now,
+            lambda: self.feed.revision,
+        )
+        self.membership.on_newer_release(self.feed.peer_at)
+        self._entry = fleet_state.RouterEntry(
+            own.name, self._incarnation, own.peer, own.front, own.data_centre
+        )
+        self._roster = roster.Roster(
+            self._store,
+            self._dialect.router_key(own.name),
+            self._dialect.router_value(self._entry),
+            lambda: self.fleet.routers.get(own.name) == self._entry,
+            self._rng,
+        )
+        holder = fencing_holder.Holder(
+            self._store,
+            self._dialect.holder_key,
+            f"{own.name}.{self._incarnation}".encode(),
+            self._clock,
+            fencing_holder.Terms(
+                const.HOLDER_LEASE_S,
+                const.HOLDER_MARGIN_S,
+                const.HOLDER_SETTLE_S,
+            ),
+        )
+        self.rollout = rollout.Rollout(
+            holder,
+            self.fleet,
+            self._dialect.link,
+            self._may_take_lease,
+            self._clock,
+            self._rng,
+        )
+
+    def _make_dispatch(self) -> None:
+        self._budgets: dict[str, window_budget.WindowBudget] = {}
+        self.dispatcher = call_dispatcher.Dispatcher(
+            self.fleet,
+            self._dialect.link,
+            placement.Placement(self._settings.router.data_centre, self._rng),
+            self._budget_of,
+            self.metrics,
+            self._clock.monotonic,
+            self._rng,
+        )
+
+    def _make_servers(self, make_peer_server) -> None:
+        own = self._settings.router
+        dialect = self._dialect
+        book = directory.Directory(self.membership.alive, self._rng)
+        front = dialect.front(
+            self.fleet, self.dispatcher, self._clock.monotonic
+        )
+        self._front = http_server.HttpServer(own.front, front)
+        self._servers = [
+            self._front,
+            http_server.HttpServer(own.ready, dialect.ready(self.is_ready)),
+            http_server.HttpServer(own.directory, dialect.directory(book)),
+        ]
+        handlers = {
+            "Ping": self.membership.on_ping,
+            "Documents": self.feed.on_documents,
+        }
+        self._peer_server = make_peer_server(
+            own.peer, self._settings.fleet_key, handlers
+        )
+
+    def is_ready(self) -> bool:
+        """Whether new callers are to be sent here."""
+        return self.fleet.catalog.version > 0 and not self._leaving
+
+    def _peer_address(self, name: str) -> str:
+        return self.membership.peer_address(name)
+
+    def _may_take_lease(self) -> bool:
+        """Whether the lease seems free and this router is to try first."""
+        if self._leaving or self.fleet.catalog.version == 0:
+            return False
+        known = self.feed.value(self._dialect.holder_key)
+        if known is not None and known.value is not None:
+            return False
+        own = self._settings.router.name
+        names = {member.name for member in self.membership.alive()} | {own}
+        first = rendezvous.top(
+            self._dialect.holder_key, names, control_const.HOLDER_CANDIDATES
+        )
+        return own in first
+
+    def _budget_of(self, service: str) -> window_budget.WindowBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            retries = self._settings.retries
+            found = window_budget.WindowBudget(
+                retries.ratio * BUDGET_PART, 0.0, retries.window_s
+            )
+            self._budgets[service] = found
+            self._share_budgets()
+        return found
+
+    def _share_budgets(self) -> None:
+        """Gives this router its part of the fleet's slack."""
+        routers = max(
+            LEAST_ROUTERS,
+            len(self.membership.alive()),
+            len(self.fleet.routers),
+        )
+        slack = self._settings.retries.slack * BUDGET_PART / routers
+        for budget in self._budgets.values():
+            budget.set_slack(slack)
+
+    async def start(self) -> None:
+        """Starts all parts; calls are refused until there is a catalogue."""
+        own = self._settings.router
+        self.fleet.on_catalog(self._on_catalog)
+        self.fleet.on_routers(self._on_routers)
+        self.membership.listen(self._share_budgets)
+        await self._store.start()
+        await self._peer_server.start()
+        for server in self._servers:
+            await server.start()
+        children = {
+            "documents": self.feed.run,
+            "pulls": self.feed.run_pulls,
+            "membership": self._run_membership,
+            "roster": self._run_roster,
+            "lease": self.rollout.run_lease,
+            "rollout": self.rollout.run,
+        }
+        for name, child in children.items():
+            self._supervisor.start_child(name, child)
+        decisions.record(
+            "started",
+            router=own.name,
+            incarnation=self._incarnation,
+            data_centre=own.data_centre,
+            front=own.front,
+        )
+
+    async def _boot(self) -> None:
+        """Waits for a catalogue, and asks seeds while the store is away."""
+        while self.fleet.catalog.version == 0:
+            await asyncio.sleep(BOOT_PERIOD_S * self._rng.uniform(0.8, 1.2))
+            others = [
+                seed
+                for seed in self._settings.seeds
+                if seed != self._settings.router.peer
+            ]
+            if others and not self.feed.store_ok:
+                await self.feed.pull_address(self._rng.choice(others))
+
+    async def _run_membership(self) -> None:
+        await self._boot()
+        await self.membership.join()
+        await self.membership.run()
+
+    async def _run_roster(self) -> None:
+        while self.fleet.catalog.version == 0:
+            await asyncio.sleep(BOOT_PERIOD_S)
+        await self._roster.run()
+
+    def _on_catalog(self, catalog: config.Catalog) -> None:
+        limits = catalog.limits
+        self._front.limits = http_server.Limits(
+            head_bytes=limits.head_bytes * 2,
+            body_bytes=limits.body_bytes,
+            head_timeout_s=limits.head_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+        )
+
+    def _on_routers(self) -> None:
+        self.membership.adopt_list(
+            vm_config.Vm(
+                item.name,
+                vm_const.ROLE_ROUTER,
+                "",
+                item.data_centre,
+                front=item.front,
+                peer=item.peer,
+            )
+            for item in self.fleet.routers.values()
+        )
+        self._share_budgets()
+
+    async def shut_down(self) -> None:
+        """Leaves gracefully within the grace period.
+
+        The router leaves the directory's answers and the readiness at once,
+        serves those who still come, and ends when nobody is served.
+        """
+        grace_s = self._settings.shutdown.grace_s
+        started = self._clock.monotonic()
+        self._leaving = True
+        self._front.leave()
+        self.membership.leave()
+        decisions.record("stopping", grace_s=grace_s)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.rollout.close())
+            group.create_task(self._roster.leave())
+            group.create_task(self.membership.announce())
+        linger_s = min(LINGER_S, grace_s / 2)
+        spent = self._clock.monotonic() - started
+        await asyncio.sleep(max(0.0, linger_s - spent))
+        spent = self._clock.monotonic() - started
+        whole = await self._front.drain(max(0.0, grace_s - END_S - spent))
+        decisions.record("stopped", whole=whole)
+
+    async def close(self) -> None:
+        """Stops everything at once."""
+        await self._supervisor.close()
+        await self.dispatcher.close()
+        self.fleet.close()
+        for server in reversed(self._servers):
+            await server.close()
+        await self._peer_server.close()
+        self._dialect.link.close()
+        close_peers = getattr(self._peers, "close", None)
+        if close_peers is not None:
+            await close_peers()
+        await self._store.close()
+        await self.metrics.close()
--- /dev/null
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -0,0 +1,441 @@
+"""Carries one call to an upstream and its answer back to the caller."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from bergamotmill.dispatch import config
+from bergamotmill.dispatch import const
+from bergamotmill.dispatch import fleet as fleet_state
+from bergamotmill.dispatch import messages
+from bergamotmill.dispatch import placement
+from bergamotmill.dispatch import ports
+from bergamotmill.dispatch import upstreams
+from bergamotmill.helpers import decisions
+from bergamotmill.helpers import metrics as stats
+from bergamotmill.helpers import run_state
+from bergamotmill.routing import window_budget
+from bergamotmill.streams import events as sse
+from bergamotmill.upstream import errors
+from bergamotmill.util import tasks as background
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+_EVENT_ID = b"id:"
+
+
+class Progress:
+    """How far a call has come over all its attempts."""
+
+    def __init__(self, call: messages.Call):
+        self.call = call
+        self.tracker = run_state.RunTracker()
+        self.tried: set[str] = set()
+        self.may_have_run = 0
+        self.arrivals = 0
+        self.last_event_id = call.last_event_id
+        self.last_reason = ""
+
+    @property
+    def ran(self) -> bool:
+        """Whether an upstream may have run the call."""
+        return self.tracker.state is not run_state.RunState.NOT_SENT
+
+
+class Dispatcher:
+    """Serves calls: chooses, sends, retries, relays and refuses."""
+
+    def __init__(
+        self,
+        fleet: fleet_state.Fleet,
+        link: ports.UpstreamLink,
+        choose: placement.Placement,
+        budgets: Callable[[str], window_budget.WindowBudget],
+        metrics: stats.Metrics,
+        now: Callable[[], float],
+        rng: random.Random,
+    ):
+        self._fleet = fleet
+        self._link = link
+        self._placement = choose
+        self._budgets = budgets
+        self._metrics = metrics
+        self._now = now
+        self._rng = rng
+        self._tasks = background.Tasks()
+
+    async def close(self) -> None:
+        """Cuts what is under way."""
+        await self._tasks.close()
+
+    async def serve(self, call: messages.Call, sink: ports.Sink) -> None:
+        """Serves one call to its end; a caller that leaves ends it."""
+        progress = Progress(call)
+        task = self._tasks.spawn(self._guarded(progress, sink))
+        sink.on_close(task.cancel)
+        await asyncio.wait({task})
+        if task.cancelled():
+            self._note(progress, "caller_left", 0)
+            return
+        rejection = task.result()
+        if rejection is None:
+            return
+        self._note(
+            progress,
+            rejection.reason,
+            rejection.status,
+            retry_after_s=rejection.retry_after_s,
+        )
+        if sink.started:
+            sink.abort()
+        else:
+            sink.reject(rejection)
+
+    async def _guarded(
+        self, progress: Progress, sink: ports.Sink
+    ) -> messages.Rejection | None:
+        left = progress.call.deadline - self._now()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                return await self._attempts(progress, sink)
+        except TimeoutError:
+            return self._give_up(progress, "deadline")
+
+    def _give_up(
+        self, progress: Progress, reason: str, retry_after_s: float = 0.0
+    ) -> messages.Rejection:
+        """Returns the final answer that the run state allows."""
+        if not progress.ran:
+            return messages.Rejection(503, reason, False, retry_after_s)
+        status = 504 if reason == "deadline" else 502
+        return messages.Rejection(status, reason, True)
+
+    def _pause(self) -> float:
+        """Returns a retry hint that spreads callers in time."""
+        spread = self._rng.uniform(
+            1.0 - const.RETRY_JITTER, 1.0 + const.RETRY_JITTER
+        )
+        return const.RETRY_PAUSE_S * spread
+
+    async def _attempts(
+        self, progress: Progress, sink: ports.Sink
+    ) -> messages.Rejection | None:
+        call = progress.call
+        service = self._service_of(call.route)
+        budget = self._budgets(service)
+        budget.requested(self._now())
+        while True:
+            if call.deadline - self._now() < const.LEAST_ATTEMPT_S:
+                return self._give_up(progress, "no_time")
+            choice = self._choose(progress, service)
+            if choice is None:
+                return self._give_up(progress, "no_upstream", self._pause())
+            late = self._too_late(progress, choice)
+            if late is not None:
+                return late
+            if progress.arrivals and not budget.try_take(self._now()):
+                return self._give_up(progress, "retry_budget", self._pause())
+            try:
+                return await self._attempt(progress, sink, service, choice)
+            except errors.UpstreamError as err:
+                if not self._may_retry(progress, choice, err):
+                    return self._give_up(
+                        progress, err.failure.value, self._pause()
+                    )
+
+    def _service_of(self, route: config.Route) -> str:
+        weights = [share.weight for share in route.shares]
+        picked = self._rng.choices(route.shares, weights)[0]
+        return picked.service
+
+    def _scope(self, call: messages.Call, weights: int) -> str:
+        """Returns the text within which cached parts are shared."""
+        scope = f"w{weights}"
+        if call.customer is not None and call.customer.isolated:
+            scope += f".{call.customer.name}"
+        return scope
+
+    def _choose(
+        self, progress: Progress, service: str
+    ) -> placement.Choice | None:
+        call = progress.call
+        known = self._fleet.upstreams
+        ready = known.ready(service)
+        now = self._now()
+        if call.generation is None:
+            return self._placement.plain(call.route, ready, progress.tried, now)
+        model = call.generation.model
+        wanted = self._fleet.weights_of(model)
+        current = [u for u in ready if u.weights.get(model, 0) >= wanted]
+        if all(u.entry.name in progress.tried for u in current):
+            current = ready
+        prefix = placement.prefix_of(call.generation, self._scope(call, wanted))
+        return self._placement.engine(
+            prefix, current, known.locations, progress.tried, now
+        )
+
+    def _too_late(
+        self, progress: Progress, choice: placement.Choice
+    ) -> messages.Rejection | None:
+        """Refuses at once what cannot begin before its deadline."""
+        left = progress.call.deadline - self._now()
+        needed = choice.best.first_byte_s
+        if needed <= left or progress.ran:
+            return None
+        return self._give_up(progress, "overloaded", needed - left)
+
+    async def _attempt(
+        self,
+        progress: Progress,
+        sink: ports.Sink,
+        service: str,
+        choice: placement.Choice,
+    ) -> messages.Rejection | None:
+        call = progress.call
+        item = choice.best.upstream
+        attempt = self._plan(progress, service, choice)
+        self._note_choice(progress, choice, attempt)
+        progress.tried.add(item.entry.name)
+        progress.tracker.sending()
+        item.started(call.request_id, choice.best.read_s, self._now())
+        reply = None
+        try:
+            reply = await self._send(progress, attempt)
+            progress.may_have_run += 1
+            item.answering(call.request_id, self._now())
+            await self._pass_on(progress, sink, reply, item)
+            item.failures.note(False, self._now())
+            reply.release()
+            reply = None
+            return None
+        except errors.UpstreamError as err:
+            if not err.ran:
+                progress.tracker.refused_unrun()
+            if err.sent:
+                progress.arrivals += 1
+            raise
+        finally:
+            item.ended(call.request_id)
+            if reply is not None:
+                reply.close()
+
+    def _plan(
+        self, progress: Progress, service: str, choice: placement.Choice
+    ) -> messages.Attempt:
+        call = progress.call
+        entry = choice.best.upstream.entry
+        left = call.deadline - self._now() - const.RETURN_MARGIN_S
+        weights = 0
+        scope = ""
+        urgency = -1
+        if call.generation is not None:
+            model = call.generation.model
+            weights = choice.best.upstream.weights.get(model, 0)
+            scope = self._scope(call, weights)
+            urgency = min(9, max(0, call.priority + 3))
+            self._learn(call, scope, entry.name)
+        del service
+        return messages.Attempt(
+            address=entry.address,
+            upstream=entry.name,
+            time_left_s=left,
+            weights=weights,
+            cache_scope=scope,
+            urgency=urgency,
+            copy_from=choice.copy_from,
+            resume_after=progress.last_event_id,
+            fresh=not call.route.repeatable,
+        )
+
+    def _learn(self, call: messages.Call, scope: str, name: str) -> None:
+        prefix = placement.prefix_of(call.generation, scope)
+        now = self._now()
+        for digest in prefix.digests:
+            self._fleet.upstreams.locations.learn("", digest, name, now)
+
+    async def _send(
+        self, progress: Progress, attempt: messages.Attempt
+    ) -> ports.Reply:
+        """Sends; a repeatable call does not wait for ever at one upstream."""
+        call = progress.call
+        if not call.route.repeatable or progress.may_have_run:
+            return await self._link.send(call, attempt)
+        patience = max(2.0 * call.route.target_s, attempt.time_left_s / 2)
+        try:
+            async with asyncio.timeout(patience):
+                return await self._link.send(call, attempt)
+        except TimeoutError:
+            raise errors.UpstreamError(
+                errors.Failure.SILENT, f"no answer in {patience:.2f} s", True
+            )
+
+    async def _pass_on(
+        self,
+        progress: Progress,
+        sink: ports.Sink,
+        reply: ports.Reply,
+        item: upstreams.Upstream,
+    ) -> None:
+        head = reply.head
+        if head.not_run is not None:
+            item.refused(self._now())
+            raise errors.UpstreamError(
+                errors.Failure.REFUSED,
+                head.not_run.value,
+                sent=True,
+                ran=False,
+                status=head.status,
+            )
+        if not head.whole:
+            raise errors.UpstreamError(
+                errors.Failure.BROKEN, "not an answer", True
+            )
+        route = progress.call.route
+        if route.streams and head.ok:
+            await self._relay(progress, sink, reply)
+        else:
+            body = await self._whole(reply)
+            if head.status >= 500 and self._tries_again(progress):
+                raise errors.UpstreamError(
+                    errors.Failure.FAILED, str(head.status), True
+                )
+            sink.answer(head, body)
+        progress.tracker.answered()
+        self._note(progress, "answered", head.status, item.entry.name)
+
+    def _tries_again(self, progress: Progress) -> bool:
+        route = progress.call.route
+        return route.repeatable and progress.may_have_run < route.max_attempts
+
+    async def _whole(self, reply: ports.Reply) -> bytes:
+        parts = []
+        size = 0
+        while data := await reply.read():
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                raise errors.UpstreamError(
+                    errors.Failure.BROKEN, "the answer is too large", True
+                )
+            parts.append(data)
+        return b"".join(parts)
+
+    async def _relay(
+        self, progress: Progress, sink: ports.Sink, reply: ports.Reply
+    ) -> None:
+        """Passes a stream on; a resumable one in whole events only."""
+        resumable = progress.call.route.resumable
+        splitter = sse.EventSplitter()
+        while data := await reply.read():
+            if not sink.started:
+                sink.start(reply.head)
+                self._note_first_byte(progress)
+            if resumable:
+                found = splitter.feed(data)
+                data = b"".join(found)
+                self._note_events(progress, found)
+            if data:
+                sink.write(data)
+            if sink.write_paused:
+                await sink.drain()
+        if resumable and splitter.partial:
+            raise errors.UpstreamError(
+                errors.Failure.LOST, "ended within an event", True
+            )
+        if not sink.started:
+            sink.start(reply.head)
+        sink.finish()
+
+    def _note_events(self, progress: Progress, found: list[bytes]) -> None:
+        if not found:
+            return
+        for line in found[-1].split(b"\n"):
+            if line.startswith(_EVENT_ID):
+                text = line[len(_EVENT_ID) :].strip()
+                progress.last_event_id = text.decode("latin-1")
+
+    def _note_first_byte(self, progress: Progress) -> None:
+        call = progress.call
+        waited = self._now() - call.received_at
+        self._metrics.timing(f"first_byte.{call.route.name}", waited)
+
+    def _may_retry(
+        self,
+        progress: Progress,
+        choice: placement.Choice,
+        err: errors.UpstreamError,
+    ) -> bool:
+        item = choice.best.upstream
+        progress.last_reason = str(err)
+        if err.failure is not errors.Failure.REFUSED:
+            item.failures.note(True, self._now())
+            self._link.forget(item.entry.address)
+        self._metrics.count(f"upstream.failures.{err.failure.value}")
+        decisions.record(
+            "attempt_failed",
+            request=progress.call.request_id,
+            upstream=item.entry.name,
+            failure=err.failure.value,
+            detail=str(err),
+            sent=err.sent,
+            ran=err.ran,
+        )
+        route = progress.call.route
+        if not err.ran:
+            return True
+        if not route.repeatable:
+            return False
+        if progress.may_have_run == 0:
+            progress.may_have_run = 1
+        return progress.may_have_run < max(2, route.max_attempts)
+
+    def _note_choice(
+        self,
+        progress: Progress,
+        choice: placement.Choice,
+        attempt: messages.Attempt,
+    ) -> None:
+        best = choice.best
+        now = self._now()
+        decisions.record(
+            "choice",
+            request=progress.call.request_id,
+            route=progress.call.route.name,
+            upstream=attempt.upstream,
+            weights=attempt.weights,
+            wait_s=round(best.wait_s, 4),
+            read_s=round(best.read_s, 4),
+            far_s=best.far_s,
+            failing_s=round(best.failing_s, 4),
+            cached_tokens=best.cached_tokens,
+            copy_from=choice.copy_from,
+            entry_age_s=round(now - best.upstream.seen_at, 2),
+            considered=choice.considered,
+            attempt=len(progress.tried) + 1,
+            left_s=round(attempt.time_left_s, 3),
+        )
+
+    def _note(
+        self,
+        progress: Progress,
+        outcome: str,
+        status: int,
+        upstream: str = "",
+        **more: object,
+    ) -> None:
+        call = progress.call
+        seconds = self._now() - call.received_at
+        self._metrics.count(f"requests.{outcome}")
+        self._metrics.timing(f"whole.{call.route.name}", seconds)
+        decisions.record(
+            "outcome",
+            request=call.request_id,
+            route=call.route.name,
+            customer=call.customer_name,
+            configuration=self._fleet.catalog.version,
+            outcome=outcome,
+            status=status,
+            upstream=upstream,
+            ran=progress.tracker.state.value,
+            detail=progress.last_reason,
+            seconds=round(seconds, 4),
+            **more,
+        )
--- /dev/null
+++ b/bergamotmill/dispatch/documents.py
@@ -0,0 +1,244 @@
+"""Follows the platform's store, and peers while the store is away.
+
+One waiting call a process covers all keys. Each key is adopted forward only,
+by its revision. A process that the store turns away asks a peer that is
+ahead of it; a process that has just started asks both.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+
+import result
+
+from bergamotmill.control import peers as peer_links
+from bergamotmill.dispatch import const
+from bergamotmill.helpers import decisions
+from bergamotmill.proto import peer_pb2
+from bergamotmill.storage import key_value
+from bergamotmill.util import backoff
+
+SOURCE_STORE = "store"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """A key's latest known state; no value means that it is gone."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+Listener = Callable[[Document, str], None]
+
+
+class DocumentFeed:
+    """Owns the latest known state of all keys."""
+
+    def __init__(
+        self,
+        store: key_value.RevisionedStore,
+        prefix: str,
+        peers: peer_links.PeerLinks,
+        now: Callable[[], float],
+        rng: random.Random,
+    ):
+        self._store = store
+        self._prefix = prefix
+        self._peers = peers
+        self._now = now
+        self._pause = backoff.Backoff(
+            const.FEED_PAUSE_FIRST_S, const.FEED_PAUSE_LAST_S, rng
+        )
+        self._documents: dict[str, Document] = {}
+        self._listeners: list[Listener] = []
+        self._position = 0
+        self._revision = 0
+        self._store_ok = False
+        self._store_ok_since = -const.STORE_DOUBT_S
+        self._confirmed_at = float("-inf")
+        self._ahead: dict[str, tuple[int, float]] = {}
+
+    @property
+    def revision(self) -> int:
+        """The highest revision that has been seen."""
+        return self._revision
+
+    @property
+    def store_ok(self) -> bool:
+        """Whether the latest call to the store succeeded."""
+        return self._store_ok
+
+    def disturbed(self) -> bool:
+        """Whether the store fails or came back only lately."""
+        since = self._now() - self._store_ok_since
+        return not self._store_ok or since < const.STORE_DOUBT_S
+
+    def age_s(self) -> float:
+        """Returns seconds since the state was last confirmed."""
+        return self._now() - self._confirmed_at
+
+    def listen(self, listener: Listener) -> None:
+        """Calls the listener with each change and where it came from."""
+        self._listeners.append(listener)
+
+    def value(self, key: str) -> Document | None:
+        """Returns what is known of a key."""
+        return self._documents.get(key)
+
+    async def run(self) -> None:
+        """Follows the store for ever."""
+        while True:
+            if self._position == 0:
+                done = await self._read_all()
+            else:
+                done = await self._follow()
+            if not done:
+                await asyncio.sleep(self._pause.next())
+
+    async def _read_all(self) -> bool:
+        found = await self._store.snapshot(self._prefix)
+        if found.is_err():
+            self._store_failed(found.err().reason)
+            return False
+        self._store_answered()
+        snapshot = found.ok()
+        present = set()
+        for entry in snapshot.entries:
+            present.add(entry.key)
+            self._adopt(
+                Document(entry.key, entry.revision, entry.value), SOURCE_STORE
+            )
+        for key, known in list(self._documents.items()):
+            if key not in present and known.revision <= snapshot.revision:
+                gone = Document(key, snapshot.revision, None)
+                if known.value is not None:
+                    self._adopt(gone, SOURCE_STORE)
+        self._position = snapshot.revision
+        self._revision = max(self._revision, snapshot.revision)
+        return True
+
+    async def _follow(self) -> bool:
+        found = await self._store.changes(
+            self._prefix, self._position, const.WATCH_WAIT_S
+        )
+        if found.is_err():
+            return self._lost_watch(found)
+        self._store_answered()
+        changes = found.ok()
+        for event in changes.events:
+            entry = event.entry
+            value = None if entry is None else entry.value
+            revision = event.revision if entry is None else entry.revision
+            self._adopt(Document(event.key, revision, value), SOURCE_STORE)
+        self._position = max(self._position, changes.revision)
+        self._revision = max(self._revision, self._position)
+        return True
+
+    def _lost_watch(self, found: result.Result) -> bool:
+        error = found.err()
+        if isinstance(error, key_value.Compacted):
+            decisions.record("history_lost", detail=error.reason)
+            self._position = 0
+            return True
+        self._store_failed(error.reason)
+        return False
+
+    def _store_answered(self) -> None:
+        now = self._now()
+        self._confirmed_at = now
+        if not self._store_ok:
+            self._store_ok = True
+            self._store_ok_since = now
+            self._pause.reset()
+            decisions.record("store_back", revision=self._revision)
+
+    def _store_failed(self, reason: str) -> None:
+        if self._store_ok:
+            decisions.record(
+                "store_lost", detail=reason, age_s=round(self.age_s(), 2)
+            )
+        self._store_ok = False
+
+    def _adopt(self, document: Document, source: str) -> None:
+        known = self._documents.get(document.key)
+        if known is not None and document.revision <= known.revision:
+            return
+        self._documents[document.key] = document
+        self._revision = max(self._revision, document.revision)
+        for listener in self._listeners:
+            listener(document, source)
+
+    def peer_at(self, name: str, revision: int) -> None:
+        """Notes that a peer has seen a higher revision."""
+        found = self._ahead.get(name)
+        since = self._now() if found is None else found[1]
+        self._ahead[name] = (revision, since)
+
+    async def run_pulls(self) -> None:
+        """Asks peers that stay ahead, for ever."""
+        while True:
+            await asyncio.sleep(const.PULL_PERIOD_S)
+            await self.pull_once()
+
+    async def pull_once(self) -> None:
+        """Asks the peer that is furthest ahead for what it has."""
+        now = self._now()
+        self._ahead = {
+            name: (revision, since)
+            for name, (revision, since) in self._ahead.items()
+            if revision > self._revision
+        }
+        due = [
+            (revision, name)
+            for name, (revision, since) in self._ahead.items()
+            if now - since >= const.PULL_AFTER_S or self._revision == 0
+        ]
+        if due:
+            await self.pull(max(due)[1])
+
+    async def pull(self, name: str) -> None:
+        """Takes what one peer knows beyond this process."""
+        request = peer_pb2.DocumentsRequest(after_revision=self._revision)
+        answer = await self._peers.call(
+            name, "Documents", request, const.PULL_TIMEOUT_S
+        )
+        self._ahead.pop(name, None)
+        if answer.is_ok():
+            self._take(name, answer.ok())
+
+    async def pull_address(self, address: str) -> None:
+        """Takes what whatever router listens on an address knows."""
+        request = peer_pb2.DocumentsRequest(after_revision=self._revision)
+        answer = await self._peers.call_address(
+            address, "Documents", request, const.PULL_TIMEOUT_S
+        )
+        if answer.is_ok():
+            self._take(address, answer.ok())
+
+    def _take(self, name: str, reply: peer_pb2.DocumentsReply) -> None:
+        for item in reply.documents:
+            value = None if item.deleted else item.value
+            self._adopt(Document(item.key, item.revision, value), name)
+        if reply.revision >= self._revision:
+            self._confirmed_at = self._now()
+        self._revision = max(self._revision, reply.revision)
+
+    async def on_documents(
+        self, request: peer_pb2.DocumentsRequest
+    ) -> peer_pb2.DocumentsReply:
+        """Tells a peer what changed after its revision."""
+        reply = peer_pb2.DocumentsReply(revision=self._revision)
+        for document in self._documents.values():
+            if document.revision > request.after_revision:
+                reply.documents.append(
+                    peer_pb2.Document(
+                        key=document.key,
+                        revision=document.revision,
+                        value=document.value or b"",
+                        deleted=document.value is None,
+                    )
+                )
+        return reply
--- /dev/null
+++ b/bergamotmill/dispatch/fleet.py
@@ -0,0 +1,268 @@
+"""The state that calls are served by: catalogue, weights and upstreams."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+from typing import Protocol
+
+import result
+
+from bergamotmill.dispatch import config
+from bergamotmill.dispatch import const
+from bergamotmill.dispatch import documents
+from bergamotmill.dispatch import upstreams
+from bergamotmill.helpers import decisions
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightsNamed:
+    """The operators want a model on a version of its weights."""
+
+    model: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouterEntry:
+    """One router of the fleet as it describes itself."""
+
+    name: str
+    incarnation: int
+    peer: str
+    front: str
+    data_centre: str
+
+
+Decoded = config.Catalog | WeightsNamed | upstreams.UpstreamEntry | RouterEntry
+
+
+class Decoder(Protocol):
+    """Reads the documents of one platform."""
+
+    def decode(
+        self, key: str, value: bytes
+    ) -> result.Result[Decoded | None, str]:
+        """Reads a document; none when the key is not ours to read."""
+
+    def upstream_of(self, key: str) -> str:
+        """Returns the upstream that a key describes; empty for none."""
+
+    def router_of(self, key: str) -> str:
+        """Returns the router that a key describes; empty for none."""
+
+
+class Fleet:
+    """Turns documents into what calls are served by."""
+
+    def __init__(
+        self,
+        feed: documents.DocumentFeed,
+        decoder: Decoder,
+        now: Callable[[], float],
+    ):
+        self._feed = feed
+        self._decoder = decoder
+        self._now = now
+        self._catalog = config.Catalog(0)
+        self._weights: dict[str, int] = {}
+        self._named_at: dict[str, float] = {}
+        self._routers: dict[str, RouterEntry] = {}
+        self._absent: dict[str, asyncio.TimerHandle] = {}
+        self._on_catalog: list[Callable[[config.Catalog], None]] = []
+        self._on_routers: list[Callable[[], None]] = []
+        self._on_weights: list[Callable[[], None]] = []
+        self.upstreams = upstreams.Upstreams(now)
+        feed.listen(self._changed)
+
+    @property
+    def catalog(self) -> config.Catalog:
+        """The configuration in force."""
+        return self._catalog
+
+    @property
+    def weights(self) -> dict[str, int]:
+        """The named version of each model."""
+        return self._weights
+
+    @property
+    def routers(self) -> dict[str, RouterEntry]:
+        """The routers that have entries in the store."""
+        return self._routers
+
+    def weights_of(self, model: str) -> int:
+        """Returns a model's named version; 0 before any is named."""
+        return self._weights.get(model, 0)
+
+    def named_s(self, model: str) -> float:
+        """Returns seconds since the newest version was heard of."""
+        at = self._named_at.get(model)
+        return float("inf") if at is None else self._now() - at
+
+    def doubtful(self) -> bool:
+        """Whether the configuration may well be out of date."""
+        age = self._feed.age_s()
+        return not self._feed.store_ok and age > const.STORE_DOUBT_S / 3
+
+    def on_catalog(self, listener: Callable[[config.Catalog], None]) -> None:
+        """Calls the listener with each configuration in force."""
+        self._on_catalog.append(listener)
+
+    def on_routers(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when entries of routers change."""
+        self._on_routers.append(listener)
+
+    def on_weights(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when a version is named or taken."""
+        self._on_weights.append(listener)
+
+    def close(self) -> None:
+        """Forgets absences that were to be settled."""
+        for timer in self._absent.values():
+            timer.cancel()
+        self._absent.clear()
+
+    def _changed(self, document: documents.Document, source: str) -> None:
+        name = self._decoder.upstream_of(document.key)
+        if name:
+            self._upstream_changed(name, document, source)
+            return
+        router = self._decoder.router_of(document.key)
+        if router and document.value is None:
+            self._routers.pop(router, None)
+            self._tell(self._on_routers)
+            return
+        if document.value is None:
+            return
+        found = self._decoder.decode(document.key, document.value)
+        if found.is_err():
+            decisions.record(
+                "document_unreadable",
+                key=document.key,
+                revision=document.revision,
+                source=source,
+                detail=found.err(),
+            )
+            return
+        self._take(found.ok(), document, source)
+
+    def _take(
+        self,
+        decoded: Decoded | None,
+        document: documents.Document,
+        source: str,
+    ) -> None:
+        match decoded:
+            case config.Catalog():
+                self._take_catalog(decoded, document, source)
+            case WeightsNamed():
+                self._take_weights(decoded, document, source)
+            case RouterEntry():
+                self._routers[decoded.name] = decoded
+                self._tell(self._on_routers)
+
+    def _take_catalog(self, catalog, document, source) -> None:
+        if catalog.version <= self._catalog.version:
+            return
+        decisions.record(
+            "configuration",
+            version=catalog.version,
+            before=self._catalog.version,
+            revision=document.revision,
+            source=source,
+        )
+        self._catalog = catalog
+        for listener in self._on_catalog:
+            listener(catalog)
+
+    def _take_weights(self, named, document, source) -> None:
+        if named.version <= self.weights_of(named.model):
+            return
+        decisions.record(
+            "weights_named",
+            model=named.model,
+            version=named.version,
+            before=self.weights_of(named.model),
+            revision=document.revision,
+            source=source,
+        )
+        self._weights[named.model] = named.version
+        self._named_at[named.model] = self._now()
+        self._tell(self._on_weights)
+
+    def _upstream_changed(
+        self, name: str, document: documents.Document, source: str
+    ) -> None:
+        if document.value is None:
+            self._upstream_absent(name, source)
+            return
+        found = self._decoder.decode(document.key, document.value)
+        timer = self._absent.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+        if found.is_err():
+            decisions.record(
+                "upstream_unreadable",
+                upstream=name,
+                revision=document.revision,
+                source=source,
+                detail=found.err(),
+            )
+            self._forget(name, "unreadable entry", source)
+            return
+        entry = found.ok()
+        known = self.upstreams.known.get(name)
+        before = None if known is None else known.entry
+        if not self.upstreams.put(entry):
+            decisions.record(
+                "upstream_stale",
+                upstream=name,
+                sequence=entry.sequence,
+                born=entry.born,
+                source=source,
+            )
+            return
+        if before is None or _tells(before) != _tells(entry):
+            decisions.record(
+                "upstream",
+                upstream=name,
+                service=entry.service,
+                address=entry.address,
+                state=entry.state.value,
+                weights=dict(entry.weights),
+                born=entry.born,
+                revision=document.revision,
+                source=source,
+            )
+        self._tell(self._on_weights)
+
+    def _upstream_absent(self, name: str, source: str) -> None:
+        if name not in self.upstreams.known or name in self._absent:
+            return
+        if not self._feed.disturbed():
+            self._forget(name, "entry removed", source)
+            return
+        loop = asyncio.get_running_loop()
+        self._absent[name] = loop.call_later(
+            const.ABSENCE_GRACE_S, self._still_absent, name, source
+        )
+
+    def _still_absent(self, name: str, source: str) -> None:
+        self._absent.pop(name, None)
+        self._forget(name, "entry lapsed and did not return", source)
+
+    def _forget(self, name: str, reason: str, source: str) -> None:
+        if name in self.upstreams.known:
+            decisions.record(
+                "upstream_gone", upstream=name, reason=reason, source=source
+            )
+            self.upstreams.remove(name)
+            self._tell(self._on_weights)
+
+    def _tell(self, listeners: list[Callable[[], None]]) -> None:
+        for listener in listeners:
+            listener()
+
+
+def _tells(entry: upstreams.UpstreamEntry) -> tuple[object, ...]:
+    """Returns what is worth a log line when it changes."""
+    return (entry.born, entry.state, entry.address, dict(entry.weights))
--- /dev/null
+++ b/bergamotmill/dispatch/upstreams.py
@@ -0,0 +1,200 @@
+"""What this process believes of each upstream."""
+
+from collections.abc import Callable, Mapping
+import dataclasses
+import enum
+import math
+
+from bergamotmill.dispatch import const
+from bergamotmill.routing import locations as prefix_locations
+
+
+class UpstreamState(enum.Enum):
+    """Whether an upstream takes new work."""
+
+    READY = "ready"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamEntry:
+    """One upstream as it describes itself.
+
+    Attributes:
+        name: its id; a new start mostly has a new one.
+        born: the start, Unix milliseconds; tells starts of one id apart.
+        sequence: grows with each report of one start.
+        cold_left_s: how much longer it stays slow after its start.
+        weights: the version held of each model.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    state: UpstreamState
+    slots: int
+    born: int
+    sequence: int
+    cold_left_s: float = 0.0
+    weights: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+class FailureRate:
+    """The share of attempts that fail; it fades while nothing is tried."""
+
+    __slots__ = ("_at", "_value")
+
+    def __init__(self):
+        self._value = 0.0
+        self._at = 0.0
+
+    def value(self, now: float) -> float:
+        """Returns the share, 0 to 1."""
+        age = max(0.0, now - self._at)
+        return self._value * math.exp(-age / const.FAILURE_DECAY_S)
+
+    def note(self, failed: bool, now: float) -> None:
+        """Takes note of an attempt."""
+        value = self.value(now)
+        step = const.FAILURE_SMOOTHING
+        self._value = value + step * ((1.0 if failed else 0.0) - value)
+        self._at = now
+
+
+class Upstream:
+    """One upstream: its entry, what it is doing and how it fares."""
+
+    def __init__(self, entry: UpstreamEntry, now: float):
+        self.entry = entry
+        self.seen_at = now
+        self.failures = FailureRate()
+        self.weights = dict(entry.weights)
+        self._cold_until = now + entry.cold_left_s
+        self._busy_until = 0.0
+        self._sent: dict[str, tuple[float, float]] = {}
+        self._running: dict[str, float] = {}
+        self._queue_s = 0.0
+        self._queue_at = 0.0
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts of this process that have not ended."""
+        return len(self._running)
+
+    def refreshed(self, entry: UpstreamEntry, now: float) -> None:
+        """Takes a newer entry of the same start."""
+        self.entry = entry
+        self.seen_at = now
+        self._cold_until = now + entry.cold_left_s
+        for model, version in entry.weights.items():
+            if version > self.weights.get(model, 0):
+                self.weights[model] = version
+
+    def holds(self, model: str, version: int) -> None:
+        """Notes weights that an answer or an order showed."""
+        if version > self.weights.get(model, 0):
+            self.weights[model] = version
+
+    def started(self, request_id: str, work_s: float, now: float) -> None:
+        """Notes an attempt that brings so much work before its answer."""
+        self._sent[request_id] = (now, work_s)
+        self._running[request_id] = now
+
+    def answering(self, request_id: str, now: float) -> None:
+        """Notes the first byte of an answer, and how long it queued."""
+        found = self._sent.pop(request_id, None)
+        if found is None:
+            return
+        sent_at, work_s = found
+        waited = max(0.0, now - sent_at - work_s)
+        self._queue_s = 0.5 * self.queue_s(now) + 0.5 * waited
+        self._queue_at = now
+
+    def ended(self, request_id: str) -> None:
+        """Notes the end of an attempt."""
+        self._sent.pop(request_id, None)
+        self._running.pop(request_id, None)
+
+    def queue_s(self, now: float) -> float:
+        """Returns the queueing last seen, which fades."""
+        return self._queue_s * math.exp(-max(0.0, now - self._queue_at))
+
+    def refused(self, now: float) -> None:
+        """Notes that it turned a request away."""
+        self._busy_until = now + const.BUSY_FORGET_S
+
+    def wait_s(self, now: float) -> float:
+        """Returns the predicted wait before work on a request begins."""
+        own = sum(
+            max(0.0, work - (now - at)) for at, work in self._sent.values()
+        )
+        oldest = max(
+            (now - at - work for at, work in self._sent.values()), default=0.0
+        )
+        wait = max(own, self.queue_s(now), oldest)
+        if now < self._busy_until:
+            wait += const.BUSY_PENALTY_S
+        if now < self._cold_until:
+            wait += const.BUSY_PENALTY_S
+        return wait
+
+
+class Upstreams:
+    """All upstreams by name; those of dead starts are forgotten.
+
+    Attributes:
+        locations: which engine holds which prefix.
+    """
+
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
+        self._known: dict[str, Upstream] = {}
+        self._by_service: dict[str, list[Upstream]] = {}
+        self.locations = prefix_locations.Locations()
+
+    @property
+    def known(self) -> Mapping[str, Upstream]:
+        """All upstreams by name, leaving ones included."""
+        return self._known
+
+    def put(self, entry: UpstreamEntry) -> bool:
+        """Takes an entry; False when it is older than what is known."""
+        known = self._known.get(entry.name)
+        now = self._now()
+        if known is not None:
+            old = known.entry
+            if (entry.born, entry.sequence) < (old.born, old.sequence):
+                return False
+            if entry.born == old.born:
+                if (
+                    old.state is UpstreamState.LEAVING
+                    and entry.state is UpstreamState.READY
+                ):
+                    return False
+                known.refreshed(entry, now)
+                self._by_service.clear()
+                return True
+        self._known[entry.name] = Upstream(entry, now)
+        self.locations.invalidate(entry.name)
+        self._by_service.clear()
+        return True
+
+    def remove(self, name: str) -> None:
+        """Forgets an upstream that takes no more work."""
+        if self._known.pop(name, None) is not None:
+            self.locations.remove(name)
+            self._by_service.clear()
+
+    def ready(self, service: str) -> list[Upstream]:
+        """Returns a service's upstreams that take new work."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = [
+                upstream
+                for _, upstream in sorted(self._known.items())
+                if upstream.entry.service == service
+                and upstream.entry.state is UpstreamState.READY
+            ]
+            self._by_service[service] = found
+        return found
--- a/bergamotmill/filings/claims.py
+++ b/bergamotmill/filings/claims.py
@@ -10,7 +10,7 @@
 
 from bergamotmill.filings import const
 from bergamotmill.filings import messages
-from bergamotmill.platform import key_value
+from bergamotmill.storage import key_value
 from bergamotmill.util import ids as id_source
 
 
--- a/bergamotmill/front/operators.py
+++ b/bergamotmill/front/operators.py
@@ -11,8 +11,8 @@
 from bergamotmill.control import release_store
 from bergamotmill.helpers import findings
 from bergamotmill.helpers import http_server
-from bergamotmill.platform import key_value
 from bergamotmill.routing import explain
+from bergamotmill.storage import key_value
 from bergamotmill.util import registry
 
 PATH_STATUS = "/status"
--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -8,6 +8,7 @@
 import h11
 
 from bergamotmill.helpers import http_errors
+from bergamotmill.helpers import socket_options
 
 Headers: TypeAlias = Sequence[tuple[bytes, bytes]]
 
@@ -18,14 +19,20 @@
 MAX_IDLE = 32
 TIMER_SLACK_S = 0.001
 _CHUNK_END = b"\r\n"
+_BODYLESS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
 
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
-    """Status and headers of an answer; header names are lower case."""
+    """Status and headers of an answer; header names are lower case.
+
+    Attributes:
+        lines: all headers in order, as they were sent.
+    """
 
     status: int
     headers: dict[bytes, bytes]
+    lines: Headers = ()
 
     def text(self, name: str, default: str = "") -> str:
         """Returns a header as text."""
@@ -78,6 +85,7 @@
     def connection_made(self, transport) -> None:
         """Keeps the transport."""
         self._transport = transport
+        socket_options.watch_silence(transport)
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser and wakes the reader."""
@@ -119,7 +127,9 @@
                     break
             elif kind is h11.Response:
                 self._head = ResponseHead(
-                    event.status_code, dict(event.headers)
+                    event.status_code,
+                    dict(event.headers),
+                    tuple(event.headers.raw_items()),
                 )
             elif kind is h11.EndOfMessage:
                 self._complete = True
@@ -178,6 +188,7 @@
         headers: Headers = (),
         body: bytes = b"",
         silence_s: float = 0.0,
+        host: str = "",
     ) -> ResponseHead:
         """Sends a request and waits for the head of its answer."""
         self._head = None
@@ -186,10 +197,11 @@
         self._chunks.clear()
         self._buffered = 0
         lines = [
-            (b"host", self.address.encode()),
-            (b"content-length", str(len(body)).encode()),
+            (b"host", (host or self.address).encode()),
             *headers,
         ]
+        if body or method not in _BODYLESS:
+            lines.append((b"content-length", str(len(body)).encode()))
         data = self._h11.send(
             h11.Request(method=method, target=target, headers=lines)
         )
@@ -272,8 +284,13 @@
 class Pool:
     """Idle connections by address."""
 
-    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S):
+    def __init__(
+        self,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        idle_lifetime_s: float = IDLE_LIFETIME_S,
+    ):
         self._connect_timeout_s = connect_timeout_s
+        self._idle_lifetime_s = idle_lifetime_s
         self._idle: dict[str, list[ClientConnection]] = {}
         self._closed = False
 
@@ -285,7 +302,7 @@
         idle = self._idle.get(address, [])
         while idle and not fresh:
             conn = idle.pop()
-            if conn.reusable and now - conn.idle_since < IDLE_LIFETIME_S:
+            if conn.reusable and now - conn.idle_since < self._idle_lifetime_s:
                 return conn
             conn.close()
         return await self._open(address)
--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -9,6 +9,8 @@
 import h11
 import loguru
 
+from bergamotmill.helpers import socket_options
+
 MAX_HEAD_BYTES = 32 * 1024
 DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
 HEAD_TIMEOUT_S = 10.0
@@ -20,14 +22,30 @@
 JSON_TYPE = (b"content-type", b"application/json")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what callers send and how long they take, in seconds."""
+
+    head_bytes: int = MAX_HEAD_BYTES
+    body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    head_timeout_s: float = HEAD_TIMEOUT_S
+    body_timeout_s: float = BODY_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+
+
 @dataclasses.dataclass(frozen=True)
 class HttpRequest:
-    """A whole request; header names are lower case."""
+    """A whole request; header names are lower case.
+
+    Attributes:
+        lines: all headers in order, as they were sent.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    lines: tuple[tuple[bytes, bytes], ...] = ()
 
     @property
     def path(self) -> str:
@@ -142,7 +160,7 @@
     def __init__(self, server: "HttpServer"):
         self._server = server
         self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.SERVER, max_incomplete_event_size=server.limits.head_bytes
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
@@ -168,6 +186,7 @@
     def connection_made(self, transport) -> None:
         """Starts serving the connection."""
         self._transport = transport
+        socket_options.watch_silence(transport)
         transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
         self._server.connections[self] = None
         self._task = asyncio.get_running_loop().create_task(self._serve())
@@ -211,6 +230,8 @@
         """Encodes and writes one event; nothing after the caller left."""
         if self._gone:
             return
+        if self._server.leaving and type(event) is h11.Response:
+            event = _with_close(event)
         data = self._h11.send(event)
         if data:
             self._transport.write(data)
@@ -278,7 +299,7 @@
             self.send(h11.InformationalResponse(status_code=100, headers=[]))
         parts: list[bytes] = []
         size = 0
-        async with asyncio.timeout(BODY_TIMEOUT_S):
+        async with asyncio.timeout(self._server.limits.body_timeout_s):
             while True:
                 event = await self._next_event()
                 if event is None:
@@ -286,7 +307,7 @@
                 if type(event) is h11.EndOfMessage:
                     break
                 size += len(event.data)
-                if size > self._server.max_body_bytes:
+                if size > self._server.limits.body_bytes:
                     raise h11.RemoteProtocolError(
                         "the body is too large", error_status_hint=413
                     )
@@ -300,10 +321,12 @@
             head.target.decode("latin-1"),
             headers,
             b"".join(parts),
+            tuple(head.headers.raw_items()),
         )
 
     async def _next_head(self):
-        async with asyncio.timeout(IDLE_TIMEOUT_S) as limit:
+        limits = self._server.limits
+        async with asyncio.timeout(limits.idle_timeout_s) as limit:
             loop = asyncio.get_running_loop()
             while True:
                 event = self._h11.next_event()
@@ -313,7 +336,7 @@
                     return None
                 self._data.clear()
                 await self._data.wait()
-                limit.reschedule(loop.time() + HEAD_TIMEOUT_S)
+                limit.reschedule(loop.time() + limits.head_timeout_s)
 
     async def _next_event(self):
         while True:
@@ -342,6 +365,11 @@
         self.send(h11.EndOfMessage())
 
 
+def _with_close(event: h11.Response) -> h11.Response:
+    headers = [*event.headers.raw_items(), (b"connection", b"close")]
+    return h11.Response(status_code=event.status_code, headers=headers)
+
+
 def _error(status: int, message: str) -> dict[str, object]:
     kind = "server_error" if status >= 500 else "invalid_request_error"
     return {
@@ -366,9 +394,10 @@
     ):
         self._address = address
         self.handler = handler
-        self.max_body_bytes = max_body_bytes
+        self.limits = Limits(body_bytes=max_body_bytes)
         self.connections: dict[ServerConnection, None] = {}
         self.closing = False
+        self.leaving = False
         self._server: asyncio.Server | None = None
 
     @property
@@ -384,6 +413,10 @@
             lambda: ServerConnection(self), host, int(port), backlog=1024
         )
 
+    def leave(self) -> None:
+        """Asks callers to use no connection for another request."""
+        self.leaving = True
+
     async def drain(self, deadline_s: float) -> bool:
         """Stops listening and waits until each request has ended.
 
--- a/bergamotmill/platform/__init__.py
+++ b/bergamotmill/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's services: key-value service and list of VMs."""
+"""Translates between the product and the platform it runs on."""
--- /dev/null
+++ b/bergamotmill/platform/dialect.py
@@ -0,0 +1,29 @@
+"""Puts this platform's translations together."""
+
+from bergamotmill.dispatch import daemon
+from bergamotmill.dispatch import settings as router_settings
+from bergamotmill.platform import const
+from bergamotmill.platform import directory
+from bergamotmill.platform import documents
+from bergamotmill.platform import ingress
+from bergamotmill.platform import replica
+from bergamotmill.platform import store
+
+
+def make(settings: router_settings.Settings) -> daemon.Dialect:
+    """Returns how things are named and said on this platform."""
+    return daemon.Dialect(
+        decoder=documents.Decoder(),
+        link=replica.ReplicaLink(settings.router.name),
+        router_key=lambda name: const.PREFIX_ROUTERS + name,
+        router_value=documents.router_value,
+        holder_key=const.KEY_HOLDER,
+        front=lambda *parts: ingress.Ingress(*parts).handle,
+        directory=lambda book: directory.DirectoryFront(book).handle,
+        ready=lambda is_ready: directory.ReadyFront(is_ready).handle,
+    )
+
+
+def make_store(settings: router_settings.Settings) -> store.PlatformStore:
+    """Returns the client of the platform's store."""
+    return store.PlatformStore(settings.store.address)
--- /dev/null
+++ b/bergamotmill/platform/ingress.py
@@ -0,0 +1,237 @@
+"""Callers' requests and answers in the platform's dialect."""
+
+from collections.abc import Callable
+import dataclasses
+
+import result
+
+from bergamotmill.dispatch import config
+from bergamotmill.dispatch import dispatcher as call_dispatcher
+from bergamotmill.dispatch import fleet as fleet_state
+from bergamotmill.dispatch import messages
+from bergamotmill.helpers import decisions
+from bergamotmill.helpers import http_server
+from bergamotmill.platform import const
+from bergamotmill.platform import replica
+
+UNKNOWN_RETRY_S = 0.3
+_SINGLE = (
+    const.HEADER_REQUEST_ID,
+    const.HEADER_DEADLINE,
+    const.HEADER_KEY,
+    const.HEADER_MODEL,
+    const.HEADER_TOKENS,
+    const.HEADER_PARTS,
+)
+
+
+class Sink:
+    """Writes a call's answer to its caller."""
+
+    def __init__(self, exchange: http_server.Exchange, request_id: str):
+        self._exchange = exchange
+        self._request_id = request_id
+
+    @property
+    def started(self) -> bool:
+        """Whether the head of the answer has left."""
+        return self._exchange.started
+
+    @property
+    def write_paused(self) -> bool:
+        """Whether the caller's side is full."""
+        return self._exchange.write_paused
+
+    def on_close(self, callback: Callable[[], None]) -> None:
+        """Calls back when the caller leaves before the end."""
+        self._exchange.on_close(callback)
+
+    def answer(self, head: messages.AnswerHead, body: bytes) -> None:
+        """Writes a whole answer."""
+        self._exchange.respond(head.status, body, head.headers)
+
+    def start(self, head: messages.AnswerHead) -> None:
+        """Writes the head of a stream."""
+        self._exchange.start(head.status, head.headers)
+
+    def write(self, data: bytes) -> None:
+        """Writes a part of a stream."""
+        self._exchange.write(data)
+
+    async def drain(self) -> None:
+        """Waits for room."""
+        await self._exchange.drain()
+
+    def finish(self) -> None:
+        """Ends a stream."""
+        self._exchange.finish()
+
+    def abort(self) -> None:
+        """Cuts the answer so that the caller sees it as partial."""
+        self._exchange.abort()
+
+    def reject(self, rejection: messages.Rejection) -> None:
+        """Writes a final answer of our own.
+
+        Raises:
+            AssertionError: the status would promise that nothing has run.
+        """
+        if rejection.ran and rejection.status in const.NOT_RUN_STATUSES:
+            raise AssertionError(f"{rejection.status} would be untrue")
+        lines = [(b"content-type", b"text/plain")]
+        if self._request_id:
+            name = const.HEADER_REQUEST_ID.encode()
+            lines.append((name, self._request_id.encode("latin-1")))
+        if rejection.retry_after_s > 0:
+            text = f"{rejection.retry_after_s:.3f}".encode()
+            lines.append((const.HEADER_RETRY_AFTER.encode(), text))
+        body = f"{rejection.reason}\n".encode()
+        self._exchange.respond(rejection.status, body, lines)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Times:
+    """When a request was read and how long it may take, in seconds."""
+
+    now: float
+    deadline: float
+
+
+class Ingress:
+    """Checks callers' requests and has them dispatched."""
+
+    def __init__(
+        self,
+        fleet: fleet_state.Fleet,
+        dispatcher: call_dispatcher.Dispatcher,
+        now: Callable[[], float],
+    ):
+        self._fleet = fleet
+        self._dispatcher = dispatcher
+        self._now = now
+
+    async def handle(self, exchange: http_server.Exchange) -> None:
+        """Serves one request."""
+        request = exchange.request
+        request_id = request.headers.get(const.HEADER_REQUEST_ID, "")
+        sink = Sink(exchange, request_id)
+        checked = self._check(request)
+        if checked.is_err():
+            self._reject(request_id, sink, checked.err())
+            return
+        await self._dispatcher.serve(checked.ok(), sink)
+
+    def _reject(
+        self, request_id: str, sink: Sink, rejection: messages.Rejection
+    ) -> None:
+        decisions.record(
+            "rejected",
+            request=request_id,
+            status=rejection.status,
+            reason=rejection.reason,
+            configuration=self._fleet.catalog.version,
+            doubtful=self._fleet.doubtful(),
+        )
+        sink.reject(rejection)
+
+    def _unknown(self, status: int, reason: str) -> messages.Rejection:
+        """Refuses what the configuration does not know.
+
+        While the configuration may be out of date the caller is asked to
+        come back instead.
+        """
+        if self._fleet.catalog.version == 0 or self._fleet.doubtful():
+            return messages.Rejection(503, reason, False, UNKNOWN_RETRY_S)
+        return messages.Rejection(status, reason)
+
+    def _check(
+        self, request: http_server.HttpRequest
+    ) -> result.Result[messages.Call, messages.Rejection]:
+        catalog = self._fleet.catalog
+        if catalog.version == 0:
+            return result.Err(self._unknown(503, "no_configuration"))
+        host = request.headers.get("host", "").partition(":")[0]
+        route = catalog.route_of(host, request.path)
+        if route is None:
+            return result.Err(self._unknown(404, "no_route"))
+        customer = None
+        if catalog.has_customers and not route.anonymous:
+            key = request.headers.get(const.HEADER_KEY, "")
+            customer = catalog.customer_of(key)
+            if customer is None:
+                return result.Err(self._unknown(401, "unknown_key"))
+        return self._call_of(request, route, customer)
+
+    def _call_of(
+        self,
+        request: http_server.HttpRequest,
+        route: config.Route,
+        customer: config.Customer | None,
+    ) -> result.Result[messages.Call, messages.Rejection]:
+        headers = request.headers
+        request_id = headers.get(const.HEADER_REQUEST_ID, "")
+        if not request_id or _repeated(request):
+            return result.Err(messages.Rejection(400, "bad_headers"))
+        generation = _generation_of(headers)
+        if generation.is_err():
+            return result.Err(messages.Rejection(400, generation.err()))
+        now = self._now()
+        resume = headers.get(const.HEADER_LAST_EVENT, "")
+        return result.Ok(
+            messages.Call(
+                request_id=request_id,
+                route=route,
+                customer=customer,
+                method=request.method,
+                target=request.target,
+                headers=replica.forwarded_headers(
+                    request.lines, const.OWN_HEADERS | {"host"}
+                ),
+                body=request.body,
+                received_at=now,
+                deadline=now + _time_left_s(headers, route),
+                generation=generation.ok(),
+                last_event_id=resume if route.resumable else "",
+            )
+        )
+
+
+def _repeated(request: http_server.HttpRequest) -> bool:
+    names = [name.lower().decode("latin-1") for name, _ in request.lines]
+    return any(names.count(name) > 1 for name in _SINGLE)
+
+
+def _time_left_s(headers: dict[str, str], route: config.Route) -> float:
+    text = headers.get(const.HEADER_DEADLINE, "")
+    try:
+        wanted = float(text) / 1000.0
+    except ValueError:
+        return route.timeout_s
+    return max(0.0, min(wanted, route.timeout_s))
+
+
+def _generation_of(
+    headers: dict[str, str],
+) -> result.Result[messages.Generation | None, str]:
+    """Reads what a request asks of a model; none for other requests."""
+    model = headers.get(const.HEADER_MODEL, "")
+    if not model:
+        return result.Ok(None)
+    try:
+        counts = headers.get(const.HEADER_TOKENS, "0,0").split(",")
+        parts = tuple(
+            _part_of(item)
+            for item in headers.get(const.HEADER_PARTS, "").split(",")
+            if item.strip()
+        )
+        generation = messages.Generation(
+            model, int(counts[0]), int(counts[1]), parts
+        )
+    except (ValueError, IndexError):
+        return result.Err("bad_prompt_headers")
+    return result.Ok(generation)
+
+
+def _part_of(text: str) -> messages.PromptPart:
+    name, _, tokens = text.strip().partition(":")
+    return messages.PromptPart(name, int(tokens))
--- /dev/null
+++ b/bergamotmill/platform/replica.py
@@ -0,0 +1,245 @@
+"""Speaks to replicas: requests, reports and orders."""
+
+import json
+from typing import Any
+
+import result
+
+from bergamotmill.dispatch import const as dispatch_const
+from bergamotmill.dispatch import messages
+from bergamotmill.dispatch import rollout
+from bergamotmill.dispatch import upstreams
+from bergamotmill.helpers import http_client
+from bergamotmill.helpers import http_errors
+from bergamotmill.platform import const
+from bergamotmill.platform import documents
+from bergamotmill.upstream import errors
+
+_FAILURES = (http_errors.HttpError, TimeoutError, ValueError, KeyError)
+_BAD_ACCOUNT = (*_FAILURES, TypeError, AttributeError)
+_ORDER_ANSWERS = {
+    200: rollout.OrderAnswer.HOLDS,
+    202: rollout.OrderAnswer.ACCEPTED,
+    409: rollout.OrderAnswer.CONFLICT,
+    412: rollout.OrderAnswer.FENCED,
+}
+
+
+class Reply:
+    """A replica's answer while it arrives."""
+
+    def __init__(
+        self,
+        pool: http_client.Pool,
+        conn: http_client.ClientConnection,
+        head: messages.AnswerHead,
+    ):
+        self._pool = pool
+        self._conn = conn
+        self._head = head
+
+    @property
+    def head(self) -> messages.AnswerHead:
+        """Status and headers."""
+        return self._head
+
+    async def read(self) -> bytes:
+        """Returns the next bytes; empty at the end of a whole answer."""
+        try:
+            return await self._conn.read()
+        except http_errors.HttpError as err:
+            raise errors.UpstreamError(
+                errors.Failure.LOST, repr(err), sent=True
+            )
+
+    def release(self) -> None:
+        """Gives the connection back after a whole answer."""
+        self._pool.release(self._conn)
+
+    def close(self) -> None:
+        """Cuts the connection."""
+        self._conn.close()
+
+
+class ReplicaLink:
+    """Sends attempts and orders to replicas."""
+
+    def __init__(self, holder_name: str):
+        self._holder_name = holder_name
+        self._pool = http_client.Pool(
+            dispatch_const.CONNECT_TIMEOUT_S, dispatch_const.IDLE_REUSE_S
+        )
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.close()
+
+    def forget(self, address: str) -> None:
+        """Closes idle connections to an address."""
+        self._pool.suspect(address)
+
+    async def send(
+        self, call: messages.Call, attempt: messages.Attempt
+    ) -> Reply:
+        """Sends an attempt and waits for the head of its answer."""
+        try:
+            conn = await self._pool.acquire(attempt.address, attempt.fresh)
+        except http_errors.ConnectError as err:
+            raise errors.UpstreamError(
+                errors.Failure.CONNECT, str(err), sent=False
+            )
+        try:
+            head = await conn.request(
+                call.method,
+                call.target,
+                _headers_of(call, attempt),
+                call.body,
+                host=call.route.host,
+            )
+            answer = _head_of(call, head)
+        except http_errors.HttpError as err:
+            conn.close()
+            raise errors.UpstreamError(
+                errors.Failure.LOST, repr(err), sent=conn.sent
+            )
+        except BaseException:
+            conn.close()
+            raise
+        return Reply(self._pool, conn, answer)
+
+    async def account(
+        self, entry: upstreams.UpstreamEntry
+    ) -> result.Result[rollout.EngineAccount, str]:
+        """Reads a replica's account of itself."""
+        try:
+            head, data = await http_client.fetch(
+                self._pool,
+                entry.address,
+                "GET",
+                const.PATH_REPORT,
+                headers=[(const.HEADER_UPSTREAM.encode(), entry.name.encode())],
+                timeout_s=dispatch_const.ORDER_TIMEOUT_S,
+            )
+            if head.status != 200:
+                return result.Err(f"status {head.status}")
+            return result.Ok(_account_of(json.loads(data)))
+        except _BAD_ACCOUNT as err:
+            return result.Err(repr(err))
+
+    async def order(self, order: rollout.WeightsOrder) -> rollout.OrderAnswer:
+        """Gives an order."""
+        body = {
+            "operation": "version",
+            "model": order.model,
+            "version": order.version,
+            "mode": "hold",
+            "holder": self._holder_name,
+            "fenceToken": order.fencing,
+            "precondition": order.orders,
+        }
+        lines = [
+            (b"content-type", b"application/json"),
+            (const.HEADER_UPSTREAM.encode(), order.upstream.encode()),
+        ]
+        try:
+            head, _ = await http_client.fetch(
+                self._pool,
+                order.address,
+                "POST",
+                const.PATH_ORDER,
+                headers=lines,
+                body=json.dumps(body).encode(),
+                timeout_s=dispatch_const.ORDER_TIMEOUT_S,
+                fresh=True,
+            )
+        except _FAILURES:
+            return rollout.OrderAnswer.NONE
+        return _ORDER_ANSWERS.get(head.status, rollout.OrderAnswer.OTHER)
+
+
+def _account_of(value: Any) -> rollout.EngineAccount:
+    return rollout.EngineAccount(
+        weights=documents.weights_held(value["models"]),
+        orders=int(value["sequence"]),
+        busy=bool(value["busy"]),
+    )
+
+
+def _headers_of(
+    call: messages.Call, attempt: messages.Attempt
+) -> list[tuple[bytes, bytes]]:
+    """Returns the caller's headers with those that are ours to set."""
+    own = {
+        const.HEADER_UPSTREAM: attempt.upstream,
+        const.HEADER_DEADLINE: str(max(1, int(attempt.time_left_s * 1000))),
+        const.HEADER_CUSTOMER: call.customer_name,
+        const.HEADER_SCOPE: attempt.cache_scope,
+        const.HEADER_COPY_FROM: attempt.copy_from,
+        const.HEADER_KEEP_AT: attempt.keep_at,
+        const.HEADER_LAST_EVENT: attempt.resume_after,
+    }
+    if attempt.weights:
+        own[const.HEADER_WEIGHTS] = str(attempt.weights)
+    if attempt.urgency >= 0:
+        own[const.HEADER_URGENCY] = str(attempt.urgency)
+    lines = list(call.headers)
+    lines += [(k.encode(), v.encode()) for k, v in own.items() if v]
+    return lines
+
+
+def _head_of(
+    call: messages.Call, head: http_client.ResponseHead
+) -> messages.AnswerHead:
+    """Reads the head of an answer.
+
+    Raises:
+        errors.UpstreamError: it answers another request.
+    """
+    answered = head.text(const.HEADER_REQUEST_ID, call.request_id)
+    if answered != call.request_id:
+        raise errors.UpstreamError(
+            errors.Failure.CROSSED, f"answer to {answered!r}", sent=True
+        )
+    lines = forwarded_headers(head.lines, frozenset())
+    weights = head.text(const.HEADER_WEIGHTS_USED, "0")
+    whole = (
+        bool(head.text(const.HEADER_RECEIPT))
+        and not head.text("content-encoding")
+        and head.status not in const.NOT_RUN_STATUSES
+    )
+    return messages.AnswerHead(
+        head.status,
+        lines,
+        whole,
+        _not_run_of(head),
+        int(weights) if weights.isdigit() else 0,
+    )
+
+
+def _not_run_of(head: http_client.ResponseHead) -> messages.NotRun | None:
+    if head.status == 421:
+        return messages.NotRun.MISDIRECTED
+    if not head.text(const.HEADER_NOT_RUN):
+        return None
+    if head.status == 400:
+        return messages.NotRun.UNREADABLE
+    return messages.NotRun.BUSY
+
+
+def forwarded_headers(
+    lines: http_client.Headers, dropped: frozenset[str]
+) -> messages.Headers:
+    """Returns headers without those of one connection and some others."""
+    named = set()
+    for name, value in lines:
+        if name.lower() == b"connection":
+            named.update(
+                part.strip().lower().decode("latin-1")
+                for part in value.split(b",")
+            )
+    gone = const.CONNECTION_HEADERS | dropped | named
+    return tuple(
+        (name, value)
+        for name, value in lines
+        if name.lower().decode("latin-1") not in gone
+    )
--- /dev/null
+++ b/bergamotmill/platform/store.py
@@ -0,0 +1,241 @@
+"""The client of the platform's store."""
+
+import base64
+from collections.abc import AsyncIterator
+import json
+from typing import Any
+import urllib.parse
+
+import result
+
+from bergamotmill.helpers import http_client
+from bergamotmill.helpers import http_errors
+from bergamotmill.platform import const
+from bergamotmill.storage import key_value
+
+_FAILURES = (http_errors.HttpError, TimeoutError, ValueError, KeyError)
+_JSON = ((b"content-type", b"application/json"),)
+
+
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text)
+
+
+def _entry_of(item: dict[str, Any]) -> key_value.Entry:
+    return key_value.Entry(
+        item["key"],
+        _decode(item.get("value", "")),
+        int(item["revision"]),
+        int(item["created"]),
+    )
+
+
+class PlatformStore:
+    """Speaks to the store; no answer may hide that a write took effect."""
+
+    def __init__(self, address: str):
+        self._address = address
+        self._pool = http_client.Pool()
+
+    async def start(self) -> None:
+        """Nothing to prepare; connections are opened when needed."""
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        self._pool.close()
+
+    def move(self, address: str) -> None:
+        """Follows the store to another address."""
+        self._pool.suspect(self._address)
+        self._address = address
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        timeout_s: float = const.CALL_TIMEOUT_S,
+        **query: object,
+    ) -> result.Result[tuple[int, dict[str, Any]], key_value.Unavailable]:
+        """Makes one call; any status below 500 but 429 is an answer."""
+        target = path
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        data = b"" if body is None else json.dumps(body).encode()
+        try:
+            head, answer = await http_client.fetch(
+                self._pool,
+                self._address,
+                method,
+                target,
+                headers=_JSON if data else (),
+                body=data,
+                timeout_s=timeout_s,
+            )
+            if head.status == 429 or head.status >= 500:
+                raise ValueError(f"status {head.status}")
+            value = json.loads(answer) if answer else {}
+            return result.Ok((head.status, value))
+        except _FAILURES as err:
+            self._pool.suspect(self._address)
+            return result.Err(key_value.Unavailable(f"{path}: {err!r}"))
+
+    async def get(
+        self, key: str
+    ) -> result.Result[key_value.Entry | None, key_value.Unavailable]:
+        """Reads one key."""
+        answer = await self._call("GET", const.PATH_KEY, key=key)
+        return answer.map(
+            lambda got: None if got[0] == 404 else _entry_of(got[1])
+        )
+
+    async def scan(
+        self, prefix: str, limit: int = 0
+    ) -> result.Result[list[key_value.Entry], key_value.Unavailable]:
+        """Reads all keys under a prefix in order."""
+        found = await self.snapshot(prefix)
+        return found.map(
+            lambda got: list(got.entries[:limit] if limit else got.entries)
+        )
+
+    async def snapshot(
+        self, prefix: str
+    ) -> result.Result[key_value.Snapshot, key_value.Unavailable]:
+        """Reads all pages under a prefix; the first page's revision counts.
+
+        Later pages may show newer entries; watching from the first page's
+        revision brings those changes again, which does no harm.
+        """
+        entries: list[key_value.Entry] = []
+        revision = 0
+        query: dict[str, object] = {"prefix": prefix}
+        while True:
+            answer = await self._call("GET", const.PATH_RANGE, **query)
+            if answer.is_err():
+                return answer
+            status, value = answer.ok()
+            if status != 200:
+                return result.Err(key_value.Unavailable(f"status {status}"))
+            entries.extend(_entry_of(item) for item in value["items"])
+            revision = revision or int(value["storeRevision"])
+            if not value.get("hasMore") or not entries:
+                return result.Ok(key_value.Snapshot(tuple(entries), revision))
+            query["after"] = entries[-1].key
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> result.Result[
+        key_value.Changes, key_value.Unavailable | key_value.Compacted
+    ]:
+        """Waits for changes after a revision; may return none in time."""
+        answer = await self._call(
+            "GET",
+            const.PATH_WATCH,
+            timeout_s=wait_s + const.WATCH_SLACK_S,
+            prefix=prefix,
+            after=after,
+            waitMs=int(wait_s * 1000),
+        )
+        if answer.is_err():
+            return answer
+        status, value = answer.ok()
+        if status == 410:
+            return result.Err(key_value.Compacted(f"after {after}"))
+        if status != 200:
+            return result.Err(key_value.Unavailable(f"status {status}"))
+        events = tuple(_event_of(item) for item in value.get("events", ()))
+        revision = int(value["storeRevision"])
+        return result.Ok(key_value.Changes(events, revision))
+
+    async def put(
+        self, key: str, value: bytes, expected: int | None, lease: int = 0
+    ) -> result.Result[int, key_value.Error]:
+        """Writes when the key's revision is as expected."""
+        put = {"key": key, "value": base64.b64encode(value).decode()}
+        if lease:
+            put["lease"] = lease
+        return await self._transact(key, expected, {"puts": [put]})
+
+    async def delete(
+        self, key: str, expected: int | None
+    ) -> result.Result[None, key_value.Error]:
+        """Deletes a key at a revision."""
+        done = await self._transact(key, expected, {"remove": [key]})
+        return done.map(lambda _: None)
+
+    async def _transact(
+        self, key: str, expected: int | None, change: dict[str, Any]
+    ) -> result.Result[int, key_value.Error]:
+        body = {"precondition": [], "puts": [], "remove": [], **change}
+        if expected is not None:
+            body["precondition"] = [{"key": key, "revision": expected}]
+        answer = await self._call("POST", const.PATH_TRANSACTION, body)
+        if answer.is_err():
+            return answer
+        status, value = answer.ok()
+        if status == 412:
+            return result.Err(_conflict_of(value))
+        if status != 200:
+            return result.Err(key_value.Unavailable(f"status {status}"))
+        return result.Ok(int(value["revision"]))
+
+    async def grant(
+        self, ttl_s: float
+    ) -> result.Result[int, key_value.Unavailable]:
+        """Makes a lease."""
+        body = {"ttlMs": int(ttl_s * 1000)}
+        answer = await self._call("POST", const.PATH_LEASE, body)
+        if answer.is_err():
+            return answer
+        status, value = answer.ok()
+        if status != 200:
+            return result.Err(key_value.Unavailable(f"status {status}"))
+        return result.Ok(int(value["lease"]))
+
+    async def renew(
+        self, lease: int
+    ) -> result.Result[bool, key_value.Unavailable]:
+        """Renews a lease that has not lapsed."""
+        answer = await self._call("POST", f"{const.PATH_KEEP}{lease}")
+        if answer.is_err():
+            return answer
+        status, _ = answer.ok()
+        if status not in (200, 404):
+            return result.Err(key_value.Unavailable(f"status {status}"))
+        return result.Ok(status == 200)
+
+    async def revoke(
+        self, lease: int
+    ) -> result.Result[None, key_value.Unavailable]:
+        """Ends a lease with its keys."""
+        answer = await self._call("DELETE", f"{const.PATH_LEASE_END}{lease}")
+        return answer.map(lambda _: None)
+
+    async def watch(self, prefix: str) -> AsyncIterator[list[key_value.Event]]:
+        """Gives changes under a prefix; ends when the store fails."""
+        found = await self.snapshot(prefix)
+        if found.is_err():
+            return
+        after = found.ok().revision
+        while True:
+            got = await self.changes(prefix, after, const.CALL_TIMEOUT_S)
+            if got.is_err():
+                return
+            after = got.ok().revision
+            if got.ok().events:
+                yield list(got.ok().events)
+
+
+def _event_of(item: dict[str, Any]) -> key_value.Event:
+    revision = int(item["revision"])
+    if item.get("deleted"):
+        return key_value.Event(item["key"], None, revision)
+    return key_value.Event(item["key"], _entry_of(item), revision)
+
+
+def _conflict_of(value: dict[str, Any]) -> key_value.Conflict:
+    items = value.get("items") or [{}]
+    found = items[0]
+    if not found.get("revision") or "value" not in found:
+        return key_value.Conflict(None)
+    return key_value.Conflict(_entry_of(found))
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -14,6 +14,7 @@
 from bergamotmill.control import const as control_const
 from bergamotmill.control import distribution as release_distribution
 from bergamotmill.control import history as fleet_history
+from bergamotmill.control import holder as fencing_holder
 from bergamotmill.control import members as fleet_members
 from bergamotmill.control import membership as fleet_membership
 from bergamotmill.control import orders as engine_orders
@@ -28,15 +29,15 @@
 from bergamotmill.front import operators
 from bergamotmill.helpers import http_server
 from bergamotmill.helpers import metrics as stats
-from bergamotmill.platform import key_value
-from bergamotmill.platform.vm_list import config as vm_config
-from bergamotmill.platform.vm_list import coordinator as vm_list
 from bergamotmill.routing import admission
 from bergamotmill.routing import decision as routing_decision
 from bergamotmill.routing import messages as routing_messages
 from bergamotmill.routing import notices as routing_notices
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.settings import config
+from bergamotmill.storage import key_value
+from bergamotmill.storage.vm_list import config as vm_config
+from bergamotmill.storage.vm_list import coordinator as vm_list
 from bergamotmill.streams import context as stream_context
 from bergamotmill.streams import generator as stream_generator
 from bergamotmill.upstream import drivers
@@ -185,7 +186,7 @@
             clock,
             self._ids,
         )
-        holder = engine_orders.Holder(
+        holder = fencing_holder.Holder(
             self._store,
             f"{prefix}/{ORDERS_KEY}/holder",
             engine_orders.holder_value(own.name, self._incarnation),
--- a/bergamotmill/settings/drivers.py
+++ b/bergamotmill/settings/drivers.py
@@ -2,13 +2,13 @@
 
 from bergamotmill.helpers import findings
 from bergamotmill.helpers import integrations
-from bergamotmill.platform import key_value
-from bergamotmill.platform.vm_list import config as vm_config
 from bergamotmill.routing import decision
 from bergamotmill.settings import config
+from bergamotmill.storage import key_value
+from bergamotmill.storage.vm_list import config as vm_config
 from bergamotmill.util import registry
 
-INTEGRATIONS = ("bergamotmill.platform", "bergamotmill.upstream")
+INTEGRATIONS = ("bergamotmill.storage", "bergamotmill.upstream")
 
 
 def check(settings: config.Settings, source: str) -> list[findings.Finding]:
--- a/bergamotmill/standin/__main__.py
+++ b/bergamotmill/standin/__main__.py
@@ -6,12 +6,12 @@
 import signal
 import sys
 
-from bergamotmill.platform.vm_list import config as vm_config
 from bergamotmill.standin import engine
 from bergamotmill.standin import engine_model
 from bergamotmill.standin import key_value
 from bergamotmill.standin import service
 from bergamotmill.standin import vm_list
+from bergamotmill.storage.vm_list import config as vm_config
 
 KINDS = ("key-value", "vm-list", "engine", "service", "kept")
 
--- a/bergamotmill/standin/cluster.py
+++ b/bergamotmill/standin/cluster.py
@@ -8,10 +8,6 @@
 
 from bergamotmill import core
 from bergamotmill import router as bergamotmill_router
-from bergamotmill.platform.gateway import coordinator as gateway
-from bergamotmill.platform.vm_list import config as vm_config
-from bergamotmill.platform.vm_list import const as vm_const
-from bergamotmill.platform.vm_list import coordinator as vm_coordinator
 from bergamotmill.settings import config
 from bergamotmill.standin import engine
 from bergamotmill.standin import engine_model
@@ -19,6 +15,10 @@
 from bergamotmill.standin import peer_bus
 from bergamotmill.standin import service
 from bergamotmill.standin import vm_list
+from bergamotmill.storage.gateway import coordinator as gateway
+from bergamotmill.storage.vm_list import config as vm_config
+from bergamotmill.storage.vm_list import const as vm_const
+from bergamotmill.storage.vm_list import coordinator as vm_coordinator
 from bergamotmill.util import clock as clocks
 from bergamotmill.util import memory_network
 
--- a/bergamotmill/standin/key_value.py
+++ b/bergamotmill/standin/key_value.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from bergamotmill.helpers import http_server
-from bergamotmill.platform import key_value
-from bergamotmill.platform.gateway import const
-from bergamotmill.platform.memory import coordinator
+from bergamotmill.storage import key_value
+from bergamotmill.storage.gateway import const
+from bergamotmill.storage.memory import coordinator
 
 PROGRESS_S = 5.0
 STATE_PATH = "/standin/state"
--- a/bergamotmill/standin/vm_list.py
+++ b/bergamotmill/standin/vm_list.py
@@ -4,8 +4,8 @@
 import json
 
 from bergamotmill.helpers import http_server
-from bergamotmill.platform.vm_list import config
-from bergamotmill.platform.vm_list import const
+from bergamotmill.storage.vm_list import config
+from bergamotmill.storage.vm_list import const
 
 
 class VmListStandIn:
--- /dev/null
+++ b/bergamotmill/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: key-value service and list of VMs."""
--- a/bergamotmill/platform/gateway/config.py
+++ b/bergamotmill/storage/gateway/config.py
@@ -1,8 +1,8 @@
 """Registers the JSON gateway driver."""
 
-from bergamotmill.platform import key_value
-from bergamotmill.platform.gateway import const
-from bergamotmill.platform.gateway import coordinator
+from bergamotmill.storage import key_value
+from bergamotmill.storage.gateway import const
+from bergamotmill.storage.gateway import coordinator
 
 
 @key_value.DRIVERS.register(const.DRIVER)
--- a/bergamotmill/platform/gateway/coordinator.py
+++ b/bergamotmill/storage/gateway/coordinator.py
@@ -9,8 +9,8 @@
 
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
-from bergamotmill.platform import key_value
-from bergamotmill.platform.gateway import const
+from bergamotmill.storage import key_value
+from bergamotmill.storage.gateway import const
 
 _FAILURES = (http_errors.HttpError, TimeoutError, ValueError, KeyError)
 
--- a/bergamotmill/platform/key_value.py
+++ b/bergamotmill/storage/key_value.py
@@ -27,10 +27,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
-    """A change that a watch reports; no entry means a deletion."""
+    """A change that a watch reports; no entry means a deletion.
+
+    Attributes:
+        revision: of the change; 0 where the driver does not know it.
+    """
 
     key: str
     entry: Entry | None
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,9 +52,32 @@
     current: Entry | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Compacted:
+    """The changes after the revision are no longer there; read all anew."""
+
+    reason: str
+
+
 Error = Unavailable | Conflict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All entries under a prefix, as of a revision or a little later."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Events in order, and the revision from which to go on."""
+
+    events: tuple[Event, ...]
+    revision: int
+
+
 class KeyValueStore(Protocol):
     """Compare-and-swap, leases and watches."""
 
@@ -100,15 +128,33 @@
         """Gives changes under a prefix; ends when the service fails."""
 
 
+class RevisionedStore(KeyValueStore, Protocol):
+    """A store whose watches go on from a revision."""
+
+    async def snapshot(
+        self, prefix: str
+    ) -> result.Result[Snapshot, Unavailable]:
+        """Reads all keys under a prefix with the store's revision."""
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> result.Result[Changes, Unavailable | Compacted]:
+        """Waits for changes after a revision; may return none in time."""
+
+
 async def put_settled(
-    store: KeyValueStore, key: str, value: bytes, expected: int | None
+    store: KeyValueStore,
+    key: str,
+    value: bytes,
+    expected: int | None,
+    lease: int = 0,
 ) -> result.Result[int, Error]:
     """Writes, and reads back when the answer was lost.
 
     Values must differ between writers, as by an operation id, so that
     finding the own value means that the write took effect.
     """
-    written = await store.put(key, value, expected)
+    written = await store.put(key, value, expected, lease)
     if written.is_ok():
         return written
     found = await store.get(key)
--- a/bergamotmill/platform/memory/__init__.py
+++ b/bergamotmill/storage/memory/__init__.py
@@ -1,5 +1,5 @@
 """A key-value store in memory, for tests, benches and the stand-in."""
 
-from bergamotmill.platform.memory import coordinator
+from bergamotmill.storage.memory import coordinator
 
 MemoryStore = coordinator.MemoryStore
--- a/bergamotmill/platform/memory/config.py
+++ b/bergamotmill/storage/memory/config.py
@@ -1,8 +1,8 @@
 """Registers the in-memory driver."""
 
-from bergamotmill.platform import key_value
-from bergamotmill.platform.memory import const
-from bergamotmill.platform.memory import coordinator
+from bergamotmill.storage import key_value
+from bergamotmill.storage.memory import const
+from bergamotmill.storage.memory import coordinator
 
 
 @key_value.DRIVERS.register(const.DRIVER)
--- a/bergamotmill/platform/memory/coordinator.py
+++ b/bergamotmill/storage/memory/coordinator.py
@@ -6,7 +6,11 @@
 
 import result
 
-from bergamotmill.platform import key_value
+from bergamotmill.storage import key_value
+
+# How often a waiting call looks for changes, and how many changes are kept.
+WATCH_STEP_S = 0.01
+HISTORY_MAX = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +33,8 @@
         self._revision = 0
         self._next_lease = 0
         self._watchers: dict[asyncio.Queue, str] = {}
+        self._history: list[key_value.Event] = []
+        self._compacted = 0
         self.reads = 0
         self.writes = 0
         self.watches = 0
@@ -85,7 +91,7 @@
         self._lease_of.pop(key, None)
         if lease:
             self._lease_of[key] = lease
-        self._notify(key_value.Event(key, entry))
+        self._notify(key_value.Event(key, entry, self._revision))
         return result.Ok(self._revision)
 
     async def delete(
@@ -145,7 +151,46 @@
         finally:
             self._watchers.pop(queue, None)
 
+    async def snapshot(
+        self, prefix: str
+    ) -> result.Result[key_value.Snapshot, key_value.Unavailable]:
+        """Reads all keys under a prefix with the store's revision."""
+        found = await self.scan(prefix)
+        return found.map(
+            lambda entries: key_value.Snapshot(tuple(entries), self._revision)
+        )
+
+    async def changes(
+        self, prefix: str, after: int, wait_s: float
+    ) -> result.Result[
+        key_value.Changes, key_value.Unavailable | key_value.Compacted
+    ]:
+        """Waits for changes after a revision; may return none in time."""
+        self.watches += 1
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_s
+        while True:
+            self._expire()
+            if after < self._compacted:
+                return result.Err(key_value.Compacted(f"after {after}"))
+            events = tuple(
+                event
+                for event in self._history
+                if event.revision > after and event.key.startswith(prefix)
+            )
+            if events or loop.time() >= end:
+                return result.Ok(key_value.Changes(events, self._revision))
+            await asyncio.sleep(min(WATCH_STEP_S, max(0.0, end - loop.time())))
+
+    def compact(self) -> None:
+        """Drops the history of changes."""
+        self._compacted = self._revision
+        self._history.clear()
+
     def _notify(self, event: key_value.Event) -> None:
+        self._history.append(event)
+        if len(self._history) > HISTORY_MAX:
+            self._compacted = self._history.pop(0).revision
         for queue, prefix in self._watchers.items():
             if event.key.startswith(prefix):
                 queue.put_nowait(event)
@@ -155,7 +200,7 @@
             return
         self._lease_of.pop(key, None)
         self._revision += 1
-        self._notify(key_value.Event(key, None))
+        self._notify(key_value.Event(key, None, self._revision))
 
     def _end_lease(self, lease: int) -> None:
         self._leases.pop(lease, None)
--- a/bergamotmill/platform/vm_list/coordinator.py
+++ b/bergamotmill/storage/vm_list/coordinator.py
@@ -10,8 +10,8 @@
 
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
-from bergamotmill.platform.vm_list import config
-from bergamotmill.platform.vm_list import const
+from bergamotmill.storage.vm_list import config
+from bergamotmill.storage.vm_list import const
 
 
 class HttpVmList:
--- a/bergamotmill/upstream/errors.py
+++ b/bergamotmill/upstream/errors.py
@@ -15,6 +15,7 @@
     MOVED = "moved"
     BAD_REQUEST = "bad_request"
     BROKEN = "broken"
+    FAILED = "failed"
 
 
 class UpstreamError(Exception):
--- a/tests/control/test_orders.py
+++ b/tests/control/test_orders.py
@@ -6,8 +6,9 @@
 
 from bergamotmill import core
 from bergamotmill.control import const
+from bergamotmill.control import holder
 from bergamotmill.control import orders
-from bergamotmill.platform.memory import coordinator as memory
+from bergamotmill.storage.memory import coordinator as memory
 from bergamotmill.upstream.engine import config
 from bergamotmill.util import clock
 from tests import virtual
@@ -115,7 +116,7 @@
 
 class HolderTest(virtual.VirtualCase):
     def holder(self, store, name):
-        return orders.Holder(store, "/h", name.encode(), clock.LoopClock())
+        return holder.Holder(store, "/h", name.encode(), clock.LoopClock())
 
     def test_one_holds_and_fencing_grows(self):
         async def main():
--- a/tests/control/test_releases.py
+++ b/tests/control/test_releases.py
@@ -8,9 +8,9 @@
 from bergamotmill.control import notes
 from bergamotmill.control import pages
 from bergamotmill.control import release_store
-from bergamotmill.platform import key_value
-from bergamotmill.platform.gateway import coordinator as gateway
 from bergamotmill.standin import key_value as standin
+from bergamotmill.storage import key_value
+from bergamotmill.storage.gateway import coordinator as gateway
 from bergamotmill.util import ids
 from tests import virtual
 
--- a/tests/helpers/test_integrations.py
+++ b/tests/helpers/test_integrations.py
@@ -1,14 +1,14 @@
 import unittest
 
 from bergamotmill.helpers import integrations
-from bergamotmill.platform import key_value
-from bergamotmill.platform.vm_list import config as vm_config
+from bergamotmill.storage import key_value
+from bergamotmill.storage.vm_list import config as vm_config
 from bergamotmill.upstream import drivers
 
 
 class IntegrationsTest(unittest.TestCase):
     def test_all_folders_register_themselves(self):
-        found = integrations.load("bergamotmill.platform")
+        found = integrations.load("bergamotmill.storage")
         self.assertEqual(sorted(found), ["gateway", "memory", "vm_list"])
         self.assertEqual(key_value.DRIVERS.names(), ["gateway", "memory"])
         self.assertEqual(vm_config.DRIVERS.names(), ["http"])
