--- a/bergamotmill/control/peers.py
+++ b/bergamotmill/control/peers.py
@@ -23,6 +23,7 @@
     "Notify",
     "Status",
     "Documents",
+    "Weights",
 )
 METADATA_KEY = "x-fleet-key"
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -18,11 +18,38 @@
 STEP_S = 0.0037
 COLD_REQUEST_S = 0.01
 
-# Cost of a candidate in another data centre, in seconds of waiting.
-FAR_COST_S = 0.05
-FAR_PLAIN_COST_S = 0.004
-# Price of reading again a part that some replica holds, per second of work.
-REREAD_WEIGHT = 1.0
+# An order holds new work up for about so long: runs end, weights load.
+ORDER_HOLD_S = 1.5
+# Over so long the lateness of answers fades from the estimate.
+EXCESS_FADE_S = 1.0
+
+# Costs of a candidate are in units of worth; see placement.
+REQUEST_WORTH = 0.6
+TOKENS_PER_WORTH = 2800.0
+OUTPUT_TOKEN_WEIGHT = 10.0
+# What is lost when the first byte is late, and how sure a prediction is.
+LATE_PART = 0.7
+LATE_SPREAD = 0.15
+# Waiting is never free: it spreads load before anything is late.
+WAIT_PART_PER_S = 0.3
+# Reading a shared part again, and moving one between engines, per token.
+REREAD_WORTH_PER_TOKEN = 1e-3
+MOVE_WORTH_PER_TOKEN = 2.8e-6
+MOVE_TOKENS_PER_S = 190_000.0
+FAR_MOVE_FACTOR = 2.0
+# A part that nobody here knows of may be at its home nevertheless.
+HOME_CHANCE = 0.5
+FAR_WORTH_PER_BYTE = 8e-6
+EVENT_BYTES = 110
+FAR_PLAIN_S = 0.004
+OLD_WEIGHTS_PART = 0.2
+# Older weights cost nothing at first and may not be used in the end.
+OLD_WEIGHTS_FREE_S = 1.3
+OLD_WEIGHTS_LAST_S = 6.5
+# A process that has just started cannot know when a version was named.
+UNKNOWN_NAMED_AGE_S = 4.0
+# How long a part stays in an engine's memory after its last use.
+KEPT_S = 10.0
 
 RETRY_PAUSE_S = 0.25
 RETRY_JITTER = 0.5
@@ -31,7 +58,12 @@
 
 FAILURE_SMOOTHING = 0.3
 FAILURE_DECAY_S = 3.0
-FAILURE_COST_S = 1.0
+FAILURE_PART = 1.0
+FAILURE_PLAIN_S = 1.0
+
+NOTICE_PERIOD_S = 0.04
+NOTICE_TIMEOUT_S = 0.3
+NOTICE_RECEIVERS = 12
 
 # Leases: the term, and how often it is renewed (three tries in a term).
 ROSTER_LEASE_S = 4.0
@@ -46,9 +78,17 @@
 HOLDER_LEASE_S = 3.0
 HOLDER_RENEW_S = 0.9
 HOLDER_MARGIN_S = 1.0
-HOLDER_SETTLE_S = 3.2
+HOLDER_SETTLE_S = 2.2
+# Turns of holders at one engine must lie so far apart.
+TURN_S = 3.2
+# Peers keep new work away for so long before an order goes out.
+ORDER_NOTICE_S = 0.08
 ORDER_TIMEOUT_S = 1.0
 ORDER_PERIOD_S = 0.1
 # An order without an answer is given again after so long.
 ORDER_AGAIN_S = 1.5
 LOADING_MAX = 3
+
+# While it is leaving, a router begins only what can end before it does.
+LEAVING_STREAM_S = 5.0
+LEAVING_PLAIN_S = 3.0
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -18,6 +18,7 @@
 from bergamotmill.dispatch import dispatcher as call_dispatcher
 from bergamotmill.dispatch import documents
 from bergamotmill.dispatch import fleet as fleet_state
+from bergamotmill.dispatch import notices
 from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import ports
 from bergamotmill.dispatch import rollout
@@ -26,21 +27,22 @@
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import http_server
 from bergamotmill.helpers import metrics as stats
+from bergamotmill.proto import peer_pb2
 from bergamotmill.routing import window_budget
 from bergamotmill.storage import key_value
 from bergamotmill.storage.vm_list import config as vm_config
 from bergamotmill.storage.vm_list import const as vm_const
 from bergamotmill.util import clock as clocks
 from bergamotmill.util import rendezvous
+from bergamotmill.util import tasks as background
 
 BOOT_PERIOD_S = 0.2
 # Parts of the shared budget that are left unused, for views that differ.
 BUDGET_PART = 0.85
 LEAST_ROUTERS = 2
 # After a signal: how long answers of the directory are still followed, and
-# when no new request is begun, both before the grace period ends.
+# how long before the end of the grace period the process is gone.
 LINGER_S = 5.0
-LAST_REQUEST_S = 1.5
 END_S = 0.5
 
 
@@ -66,6 +68,7 @@
     router_key: Callable[[str], str]
     router_value: Callable[[fleet_state.RouterEntry], bytes]
     holder_key: str
+    handover_key: str
     front: Callable[
         [fleet_state.Fleet, call_dispatcher.Dispatcher, Callable[[], float]],
         http_server.Handler,
@@ -95,6 +98,8 @@
         self._rng = rng
         self._incarnation = incarnation
         self._leaving = False
+        self._ends_at = float("inf")
+        self._tasks = background.Tasks()
         self._supervisor = supervisor.Supervisor("router", rng)
         self.metrics = stats.Metrics()
         self._peers = make_peers(settings.fleet_key, self._peer_address)
@@ -151,17 +156,29 @@
             self.fleet,
             self._dialect.link,
             self._may_take_lease,
+            self._announce,
+            self._leave_behind,
             self._clock,
             self._rng,
         )
+        self.feed.listen(self._on_document)
 
     def _make_dispatch(self) -> None:
         self._budgets: dict[str, window_budget.WindowBudget] = {}
+        self.notices = notices.Notices(
+            self.fleet.upstreams,
+            self._peers,
+            self._other_routers,
+            self._clock.monotonic,
+            self._rng,
+        )
         self.dispatcher = call_dispatcher.Dispatcher(
             self.fleet,
             self._dialect.link,
             placement.Placement(self._settings.router.data_centre, self._rng),
             self._budget_of,
+            self.notices,
+            self.end_in,
             self.metrics,
             self._clock.monotonic,
             self._rng,
@@ -183,6 +200,8 @@
         handlers = {
             "Ping": self.membership.on_ping,
             "Documents": self.feed.on_documents,
+            "Notify": self.notices.on_notify,
+            "Weights": self._on_weights_notice,
         }
         self._peer_server = make_peer_server(
             own.peer, self._settings.fleet_key, handlers
@@ -192,6 +211,60 @@
         """Whether new callers are to be sent here."""
         return self.fleet.catalog.version > 0 and not self._leaving
 
+    def end_in(self) -> float:
+        """Returns seconds until this process ends; infinite while it stays."""
+        return self._ends_at - self._clock.monotonic()
+
+    def _other_routers(self) -> list[str]:
+        """Returns peers that are told of attempts, a bounded number."""
+        own = self._settings.router.name
+        names = [m.name for m in self.membership.alive() if m.name != own]
+        if len(names) > const.NOTICE_RECEIVERS:
+            names = self._rng.sample(names, const.NOTICE_RECEIVERS)
+        return names
+
+    async def _announce(self, notice: rollout.EngineNotice) -> None:
+        """Tells all peers of an engine; one that misses it finds out."""
+        request = peer_pb2.WeightsNotice(
+            upstream=notice.upstream,
+            born=notice.born,
+            model=notice.model,
+            version=notice.version,
+            held=notice.held,
+        )
+        own = self._settings.router.name
+        names = [m.name for m in self.membership.alive() if m.name != own]
+        for name in names:
+            self._tasks.spawn(
+                self._peers.call(
+                    name, "Weights", request, const.NOTICE_TIMEOUT_S
+                )
+            )
+
+    async def _on_weights_notice(
+        self, request: peer_pb2.WeightsNotice
+    ) -> peer_pb2.WeightsReply:
+        self.fleet.engine_noticed(
+            request.upstream,
+            request.born,
+            request.model,
+            request.version,
+            request.held,
+        )
+        return peer_pb2.WeightsReply()
+
+    async def _leave_behind(self, value: bytes) -> None:
+        done = await self._store.put(self._dialect.handover_key, value, None)
+        decisions.record("handover", kept=done.is_ok())
+
+    def _on_document(self, document: documents.Document, source: str) -> None:
+        del source
+        if document.key == self._dialect.holder_key:
+            held = document.value is not None
+            self.rollout.lease_changed(document.revision, held)
+        elif document.key == self._dialect.handover_key and document.value:
+            self.rollout.handed_over(document.value)
+
     def _peer_address(self, name: str) -> str:
         return self.membership.peer_address(name)
 
@@ -313,6 +386,7 @@
         grace_s = self._settings.shutdown.grace_s
         started = self._clock.monotonic()
         self._leaving = True
+        self._ends_at = started + grace_s - END_S
         self._front.leave()
         self.membership.leave()
         decisions.record("stopping", grace_s=grace_s)
@@ -331,6 +405,8 @@
         """Stops everything at once."""
         await self._supervisor.close()
         await self.dispatcher.close()
+        await self.notices.close()
+        await self._tasks.close()
         self.fleet.close()
         for server in reversed(self._servers):
             await server.close()
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -8,6 +8,7 @@
 from bergamotmill.dispatch import const
 from bergamotmill.dispatch import fleet as fleet_state
 from bergamotmill.dispatch import messages
+from bergamotmill.dispatch import notices
 from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import ports
 from bergamotmill.dispatch import upstreams
@@ -19,6 +20,8 @@
 from bergamotmill.upstream import errors
 from bergamotmill.util import tasks as background
 
+# A caller that is sent away by a leaving router may try another at once.
+LEAVING_S = 0.02
 MAX_BODY_BYTES = 16 * 1024 * 1024
 _EVENT_ID = b"id:"
 
@@ -50,14 +53,31 @@
         link: ports.UpstreamLink,
         choose: placement.Placement,
         budgets: Callable[[str], window_budget.WindowBudget],
+        sent: notices.Notices,
+        end_in: Callable[[], float],
         metrics: stats.Metrics,
         now: Callable[[], float],
         rng: random.Random,
     ):
+        """Makes a dispatcher.
+
+        Args:
+            fleet: what calls are served by.
+            link: sends attempts.
+            choose: picks upstreams.
+            budgets: gives the retry budget of a service.
+            sent: tells peers of attempts.
+            end_in: returns seconds until this process ends.
+            metrics: counters and timings.
+            now: the monotonic clock.
+            rng: draws shares and pauses.
+        """
         self._fleet = fleet
         self._link = link
         self._placement = choose
         self._budgets = budgets
+        self._notices = sent
+        self._end_in = end_in
         self._metrics = metrics
         self._now = now
         self._rng = rng
@@ -70,6 +90,11 @@
     async def serve(self, call: messages.Call, sink: ports.Sink) -> None:
         """Serves one call to its end; a caller that leaves ends it."""
         progress = Progress(call)
+        if self._ends_before(call):
+            rejection = messages.Rejection(503, "leaving", False, LEAVING_S)
+            self._note(progress, rejection.reason, rejection.status)
+            sink.reject(rejection)
+            return
         task = self._tasks.spawn(self._guarded(progress, sink))
         sink.on_close(task.cancel)
         await asyncio.wait({task})
@@ -90,6 +115,13 @@
         else:
             sink.reject(rejection)
 
+    def _ends_before(self, call: messages.Call) -> bool:
+        """Whether this process may well end before the call does."""
+        needed = const.LEAVING_PLAIN_S
+        if call.route.streams:
+            needed = const.LEAVING_STREAM_S
+        return self._end_in() < needed
+
     async def _guarded(
         self, progress: Progress, sink: ports.Sink
     ) -> messages.Rejection | None:
@@ -135,7 +167,7 @@
             if progress.arrivals and not budget.try_take(self._now()):
                 return self._give_up(progress, "retry_budget", self._pause())
             try:
-                return await self._attempt(progress, sink, service, choice)
+                return await self._attempt(progress, sink, choice)
             except errors.UpstreamError as err:
                 if not self._may_retry(progress, choice, err):
                     return self._give_up(
@@ -162,15 +194,39 @@
         ready = known.ready(service)
         now = self._now()
         if call.generation is None:
-            return self._placement.plain(call.route, ready, progress.tried, now)
+            return self._placement.plain(ready, progress.tried, now)
         model = call.generation.model
-        wanted = self._fleet.weights_of(model)
-        current = [u for u in ready if u.weights.get(model, 0) >= wanted]
-        if all(u.entry.name in progress.tried for u in current):
-            current = ready
-        prefix = placement.prefix_of(call.generation, self._scope(call, wanted))
+        demand = self._demand_of(call, {u.weights.get(model, 0) for u in ready})
         return self._placement.engine(
-            prefix, current, known.locations, progress.tried, now
+            demand, ready, model, known.locations, progress.tried, now
+        )
+
+    def _demand_of(
+        self, call: messages.Call, versions: set[int]
+    ) -> placement.Demand:
+        generation = call.generation
+        model = generation.model
+        superseded_s = {
+            version: self._fleet.superseded_s(model, version)
+            for version in versions
+        }
+        size = len(call.body) + const.EVENT_BYTES * generation.output_tokens
+        return placement.Demand(
+            prefixes={
+                version: placement.prefix_of(
+                    generation, self._scope(call, version)
+                )
+                for version in versions
+                if superseded_s[version] < const.OLD_WEIGHTS_LAST_S
+            },
+            worth=placement.worth_of(generation),
+            target_s=call.route.target_s - (self._now() - call.received_at),
+            far_bytes=size,
+            stale=frozenset(
+                version
+                for version in versions
+                if superseded_s[version] > const.OLD_WEIGHTS_FREE_S
+            ),
         )
 
     def _too_late(
@@ -187,21 +243,22 @@
         self,
         progress: Progress,
         sink: ports.Sink,
-        service: str,
         choice: placement.Choice,
     ) -> messages.Rejection | None:
         call = progress.call
         item = choice.best.upstream
-        attempt = self._plan(progress, service, choice)
+        attempt = self._plan(progress, choice)
         self._note_choice(progress, choice, attempt)
         progress.tried.add(item.entry.name)
         progress.tracker.sending()
-        item.started(call.request_id, choice.best.read_s, self._now())
+        item.started(call.request_id, choice.best.work_s, self._now())
         reply = None
         try:
             reply = await self._send(progress, attempt)
             progress.may_have_run += 1
             item.answering(call.request_id, self._now())
+            if call.generation is not None and reply.head.weights:
+                item.holds(call.generation.model, reply.head.weights)
             await self._pass_on(progress, sink, reply, item)
             item.failures.note(False, self._now())
             reply.release()
@@ -219,7 +276,7 @@
                 reply.close()
 
     def _plan(
-        self, progress: Progress, service: str, choice: placement.Choice
+        self, progress: Progress, choice: placement.Choice
     ) -> messages.Attempt:
         call = progress.call
         entry = choice.best.upstream.entry
@@ -232,8 +289,7 @@
             weights = choice.best.upstream.weights.get(model, 0)
             scope = self._scope(call, weights)
             urgency = min(9, max(0, call.priority + 3))
-            self._learn(call, scope, entry.name)
-        del service
+            self._learn(call, scope, choice)
         return messages.Attempt(
             address=entry.address,
             upstream=entry.name,
@@ -241,16 +297,22 @@
             weights=weights,
             cache_scope=scope,
             urgency=urgency,
-            copy_from=choice.copy_from,
+            copy_from=choice.best.source,
             resume_after=progress.last_event_id,
             fresh=not call.route.repeatable,
         )
 
-    def _learn(self, call: messages.Call, scope: str, name: str) -> None:
+    def _learn(
+        self, call: messages.Call, scope: str, choice: placement.Choice
+    ) -> None:
+        """Presumes that the engine will hold the prompt, and tells peers."""
         prefix = placement.prefix_of(call.generation, scope)
+        best = choice.best
+        entry = best.upstream.entry
         now = self._now()
         for digest in prefix.digests:
-            self._fleet.upstreams.locations.learn("", digest, name, now)
+            self._fleet.upstreams.locations.learn("", digest, entry.name, now)
+        self._notices.sent(entry, prefix.digests, best.work_s)
 
     async def _send(
         self, progress: Progress, attempt: messages.Attempt
@@ -403,10 +465,13 @@
             weights=attempt.weights,
             wait_s=round(best.wait_s, 4),
             read_s=round(best.read_s, 4),
-            far_s=best.far_s,
-            failing_s=round(best.failing_s, 4),
+            late=round(best.late, 4),
+            read=round(best.read, 4),
+            far=round(best.far, 4),
+            old=round(best.old, 4),
+            failing=round(best.failing, 4),
             cached_tokens=best.cached_tokens,
-            copy_from=choice.copy_from,
+            source=best.source,
             entry_age_s=round(now - best.upstream.seen_at, 2),
             considered=choice.considered,
             attempt=len(progress.tried) + 1,
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -13,6 +13,9 @@
 from bergamotmill.dispatch import upstreams
 from bergamotmill.helpers import decisions
 
+# Versions of a model whose naming is remembered.
+NAMED_KEPT = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WeightsNamed:
@@ -65,7 +68,7 @@
         self._now = now
         self._catalog = config.Catalog(0)
         self._weights: dict[str, int] = {}
-        self._named_at: dict[str, float] = {}
+        self._named: dict[str, list[tuple[int, float]]] = {}
         self._routers: dict[str, RouterEntry] = {}
         self._absent: dict[str, asyncio.TimerHandle] = {}
         self._on_catalog: list[Callable[[config.Catalog], None]] = []
@@ -93,10 +96,12 @@
         """Returns a model's named version; 0 before any is named."""
         return self._weights.get(model, 0)
 
-    def named_s(self, model: str) -> float:
-        """Returns seconds since the newest version was heard of."""
-        at = self._named_at.get(model)
-        return float("inf") if at is None else self._now() - at
+    def superseded_s(self, model: str, version: int) -> float:
+        """Returns seconds since a newer version was named; 0 before that."""
+        for newer, at in self._named.get(model, ()):
+            if newer > version:
+                return self._now() - at
+        return 0.0
 
     def doubtful(self) -> bool:
         """Whether the configuration may well be out of date."""
@@ -121,6 +126,19 @@
             timer.cancel()
         self._absent.clear()
 
+    def engine_noticed(
+        self, name: str, born: int, model: str, version: int, held: bool
+    ) -> None:
+        """Takes what the router that gives the orders does with an engine."""
+        item = self.upstreams.known.get(name)
+        if item is None or item.entry.born != born:
+            return
+        if held:
+            item.holds(model, version)
+        else:
+            item.ordered(self._now())
+        self._tell(self._on_weights)
+
     def _changed(self, document: documents.Document, source: str) -> None:
         name = self._decoder.upstream_of(document.key)
         if name:
@@ -186,7 +204,10 @@
             source=source,
         )
         self._weights[named.model] = named.version
-        self._named_at[named.model] = self._now()
+        history = self._named.setdefault(named.model, [])
+        age_s = 0.0 if history else const.UNKNOWN_NAMED_AGE_S
+        history.append((named.version, self._now() - age_s))
+        del history[:-NAMED_KEPT]
         self._tell(self._on_weights)
 
     def _upstream_changed(
--- /dev/null
+++ b/bergamotmill/dispatch/notices.py
@@ -0,0 +1,95 @@
+"""Routers tell one another what they have just sent where.
+
+A part that one router had an engine read is then known to all, and so is the
+work that waits there. Notices may be lost: beliefs fade by themselves.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+import random
+
+from bergamotmill.control import peers as peer_links
+from bergamotmill.dispatch import const
+from bergamotmill.dispatch import upstreams
+from bergamotmill.proto import peer_pb2
+from bergamotmill.util import tasks as background
+
+MAX_WAITING = 256
+MS = 1000
+
+
+class Notices:
+    """Gathers what was sent and tells peers in batches."""
+
+    def __init__(
+        self,
+        known: upstreams.Upstreams,
+        peers: peer_links.PeerLinks,
+        receivers: Callable[[], Sequence[str]],
+        now: Callable[[], float],
+        rng: random.Random,
+    ):
+        self._known = known
+        self._peers = peers
+        self._receivers = receivers
+        self._now = now
+        self._rng = rng
+        self._waiting: list[peer_pb2.Notice] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks = background.Tasks()
+
+    def sent(
+        self,
+        entry: upstreams.UpstreamEntry,
+        digests: Sequence[int],
+        work_s: float,
+    ) -> None:
+        """Has a request told to peers."""
+        if len(self._waiting) >= MAX_WAITING:
+            return
+        self._waiting.append(
+            peer_pb2.Notice(
+                replica=entry.name,
+                incarnation=entry.born,
+                digests=digests,
+                work_ms=int(work_s * MS),
+            )
+        )
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(
+                const.NOTICE_PERIOD_S, self.flush
+            )
+
+    def flush(self) -> None:
+        """Tells what has gathered."""
+        self._timer = None
+        if not self._waiting:
+            return
+        request = peer_pb2.NotifyRequest(notices=self._waiting)
+        self._waiting = []
+        for name in self._receivers():
+            self._tasks.spawn(
+                self._peers.call(
+                    name, "Notify", request, const.NOTICE_TIMEOUT_S
+                )
+            )
+
+    async def on_notify(
+        self, request: peer_pb2.NotifyRequest
+    ) -> peer_pb2.NotifyReply:
+        """Takes what a peer has sent."""
+        now = self._now()
+        for notice in request.notices:
+            item = self._known.known.get(notice.replica)
+            if item is None or item.entry.born != notice.incarnation:
+                continue
+            item.add_work(notice.work_ms / MS, now)
+            for digest in notice.digests:
+                self._known.locations.learn("", digest, notice.replica, now)
+        return peer_pb2.NotifyReply()
+
+    async def close(self) -> None:
+        """Stops what is under way."""
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._tasks.close()
--- a/bergamotmill/dispatch/placement.py
+++ b/bergamotmill/dispatch/placement.py
@@ -1,19 +1,22 @@
 """Chooses the upstream for an attempt; no input or output here.
 
-Each candidate has a cost in seconds: the predicted wait, the part of the
-prompt that it would have to read, its distance, and how often it failed
-lately. Prompts that share parts get the same home from every process, by
-rendezvous hashing over the deepest shared part, so that processes agree
-without talking.
+Each candidate has a cost in units of worth, the measure in which operators
+count requests: what is lost if the answer begins late, what it costs to read
+parts again that another engine holds, to move them, and to carry the request
+to another data centre.
+
+Prompts that share parts get the same home from every process, by rendezvous
+hashing over the deepest shared part, so that processes which know nothing
+agree all the same.
 """
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 import dataclasses
+import math
 import random
 
 import xxhash
 
-from bergamotmill.dispatch import config
 from bergamotmill.dispatch import const
 from bergamotmill.dispatch import messages
 from bergamotmill.dispatch import upstreams
@@ -23,10 +26,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prefix:
-    """The shared beginnings of a prompt under one cache scope.
+    """The beginnings of a prompt under one cache scope.
 
     Attributes:
-        digests: one for each shared part with all parts before it.
+        digests: one for each part with all parts before it.
         tokens: tokens of the prompt up to and including that part.
         total_tokens: tokens of the whole prompt.
     """
@@ -35,22 +38,61 @@
     tokens: tuple[int, ...]
     total_tokens: int
 
+    @property
+    def shared(self) -> int:
+        """How many parts several requests may share: all but the last."""
+        return max(0, len(self.digests) - 1)
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the shared parts."""
+        return self.tokens[self.shared - 1] if self.shared else 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What a prompt asks of an engine.
+
+    Attributes:
+        prefixes: the prompt under the scope of each version of the weights
+            that it may run on.
+        stale: versions whose answers count less.
+    """
+
+    prefixes: Mapping[int, Prefix]
+    worth: float
+    target_s: float
+    far_bytes: int
+    stale: frozenset[int] = frozenset()
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Candidate:
-    """An upstream with the terms of its cost, in seconds."""
+    """An upstream with its predictions and the terms of its cost.
+
+    Attributes:
+        wait_s: until work on the request begins.
+        read_s: until its prompt has been moved or read.
+        source: the address from which to move parts; empty for none.
+        late, read, far, old, failing: the terms, in units of worth.
+    """
 
     upstream: upstreams.Upstream
     wait_s: float
     read_s: float
-    far_s: float
-    failing_s: float
+    work_s: float
     cached_tokens: int
+    source: str
+    late: float
+    read: float
+    far: float
+    old: float
+    failing: float
 
     @property
-    def cost_s(self) -> float:
+    def cost(self) -> float:
         """The sum of all terms."""
-        return self.wait_s + self.read_s + self.far_s + self.failing_s
+        return self.late + self.read + self.far + self.old + self.failing
 
     @property
     def first_byte_s(self) -> float:
@@ -60,25 +102,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """The chosen candidate.
-
-    Attributes:
-        copy_from: another upstream that holds more of the prompt; empty
-            when reading is as good.
-        considered: how many candidates there were.
-    """
+    """The chosen candidate among so many."""
 
     best: Candidate
-    copy_from: str = ""
-    considered: int = 0
+    considered: int
 
 
 def prefix_of(generation: messages.Generation, scope: str) -> Prefix:
-    """Returns the shared beginnings of a prompt.
-
-    The last part is the request's own: it is left out unless it is the
-    only one.
-    """
+    """Returns the beginnings of a prompt within a cache scope."""
     digests = []
     tokens = []
     text = f"{scope}\0{generation.model}"
@@ -93,21 +124,82 @@
     )
 
 
-def home_of(prefix: Prefix, names: Collection[str]) -> str:
-    """Returns the upstream at which every process expects the prefix."""
-    if not prefix.digests or not names:
-        return ""
-    level = max(0, len(prefix.digests) - 2)
-    return rendezvous.top(str(prefix.digests[level]), names, 1)[0]
+def worth_of(generation: messages.Generation) -> float:
+    """Returns what a generation is worth, by its size."""
+    size = generation.prompt_tokens
+    size += const.OUTPUT_TOKEN_WEIGHT * generation.output_tokens
+    return const.REQUEST_WORTH + size / const.TOKENS_PER_WORTH
+
 
+def home_of(digest: int, names: Collection[str]) -> str:
+    """Returns the upstream at which every process expects a prefix."""
+    return rendezvous.top(str(digest), names, 1)[0] if names else ""
 
-def cached_tokens(
-    prefix: Prefix, name: str, known: prefix_locations.Locations
+
+def late_chance(first_byte_s: float, target_s: float) -> float:
+    """Returns how likely an answer begins late, 0 to 1."""
+    spread = max(0.02, target_s * const.LATE_SPREAD)
+    ratio = (first_byte_s - 0.8 * target_s) / spread
+    return 1.0 / (1.0 + math.exp(-max(-40.0, min(40.0, ratio))))
+
+
+class Holders:
+    """Who holds how much of one prompt, as far as is known or agreed."""
+
+    def __init__(
+        self,
+        prefix: Prefix,
+        names: Collection[str],
+        known: prefix_locations.Locations,
+        now: float,
+    ):
+        self._prefix = prefix
+        self._held: dict[str, int] = {}
+        for name in names:
+            held = _held_tokens(prefix, name, known, now)
+            if held:
+                self._held[name] = held
+        self.most = max(self._held.values(), default=0)
+        self.known = self.most >= prefix.shared_tokens
+        self.home = ""
+        self.first_home = ""
+        if prefix.shared:
+            self.home = home_of(prefix.digests[prefix.shared - 1], names)
+            self.first_home = home_of(prefix.digests[0], names)
+
+    def tokens(self, name: str) -> int:
+        """Returns how many tokens an upstream surely holds."""
+        return self._held.get(name, 0)
+
+    def source_for(self, name: str) -> tuple[str, int]:
+        """Returns who holds most beyond an upstream, and how much that is.
+
+        An upstream that is only presumed to hold a part counts as holding
+        nothing for sure: asking it costs next to nothing.
+        """
+        own = self.tokens(name)
+        best = max(
+            (other for other in self._held if other != name),
+            key=self._held.__getitem__,
+            default="",
+        )
+        if best and self._held[best] > own:
+            return best, self._held[best]
+        if own >= self._prefix.shared_tokens:
+            return "", own
+        for presumed in (self.home, self.first_home):
+            if presumed and presumed != name:
+                return presumed, own
+        return "", own
+
+
+def _held_tokens(
+    prefix: Prefix, name: str, known: prefix_locations.Locations, now: float
 ) -> int:
-    """Returns how many tokens of a prefix an upstream is known to hold."""
     held = 0
     for digest, tokens in zip(prefix.digests, prefix.tokens, strict=True):
-        if known.stamp(digest, name) is None:
+        stamp = known.stamp(digest, name)
+        if stamp is None or now - stamp > const.KEPT_S:
             break
         held = tokens
     return held
@@ -122,80 +214,113 @@
 
     def plain(
         self,
-        route: config.Route,
         ready: Sequence[upstreams.Upstream],
         exclude: Collection[str],
         now: float,
     ) -> Choice | None:
-        """Chooses among upstreams of a plain service."""
-        del route
-        found = [
-            Candidate(
-                item,
-                item.wait_s(now) + 0.01 * item.in_flight,
-                0.0,
-                self._far(item, const.FAR_PLAIN_COST_S),
-                const.FAILURE_COST_S * item.failures.value(now),
-                0,
+        """Chooses among upstreams of a plain service; costs are seconds."""
+        found = []
+        for item in ready:
+            if item.entry.name in exclude:
+                continue
+            wait_s = item.wait_s(now) + 0.01 * item.in_flight
+            far = 0.0 if self._is_near(item) else const.FAR_PLAIN_S
+            failing = const.FAILURE_PLAIN_S * item.failures.value(now)
+            found.append(
+                Candidate(
+                    upstream=item,
+                    wait_s=wait_s,
+                    read_s=0.0,
+                    work_s=0.0,
+                    cached_tokens=0,
+                    source="",
+                    late=wait_s,
+                    read=0.0,
+                    far=far,
+                    old=0.0,
+                    failing=failing,
+                )
             )
-            for item in ready
-            if item.entry.name not in exclude
-        ]
         return self._take(found)
 
     def engine(
         self,
-        prefix: Prefix,
+        demand: Demand,
         ready: Sequence[upstreams.Upstream],
+        model: str,
         known: prefix_locations.Locations,
         exclude: Collection[str],
         now: float,
     ) -> Choice | None:
         """Chooses among engines for a prompt."""
-        names = [item.entry.name for item in ready]
-        home = home_of(prefix, names)
-        found = []
+        by_version: dict[int, list[upstreams.Upstream]] = {}
         for item in ready:
-            if item.entry.name in exclude:
-                continue
-            cached = cached_tokens(prefix, item.entry.name, known)
-            if item.entry.name == home and len(prefix.tokens) > 1:
-                cached = max(cached, prefix.tokens[-2])
-            missing = max(0, prefix.total_tokens - cached)
-            read_s = const.COLD_REQUEST_S
-            read_s += missing / const.PREFILL_TOKENS_PER_S
-            found.append(
-                Candidate(
-                    item,
-                    item.wait_s(now),
-                    read_s,
-                    self._far(item, const.FAR_COST_S),
-                    const.FAILURE_COST_S * item.failures.value(now),
-                    cached,
-                )
-            )
-        choice = self._take(found)
-        if choice is None:
-            return None
-        return dataclasses.replace(
-            choice, copy_from=_source(choice.best, found, home)
+            version = item.weights.get(model, 0)
+            if version in demand.prefixes:
+                by_version.setdefault(version, []).append(item)
+        found = []
+        for version, items in by_version.items():
+            prefix = demand.prefixes[version]
+            names = {item.entry.name: item for item in items}
+            holders = Holders(prefix, names, known, now)
+            for name, item in names.items():
+                if name not in exclude:
+                    found.append(
+                        self._candidate(
+                            demand, version, prefix, holders, item, names, now
+                        )
+                    )
+        return self._take(found)
+
+    def _candidate(
+        self, demand, version, prefix, holders, item, names, now
+    ) -> Candidate:
+        name = item.entry.name
+        own = holders.tokens(name)
+        source, reachable = holders.source_for(name)
+        moved = max(0, reachable - own)
+        source_item = names.get(source)
+        far_move = source_item is not None and (
+            source_item.entry.data_centre != item.entry.data_centre
+        )
+        factor = const.FAR_MOVE_FACTOR if far_move else 1.0
+        missing = max(0, prefix.total_tokens - max(own, reachable))
+        work_s = const.COLD_REQUEST_S + missing / const.PREFILL_TOKENS_PER_S
+        read_s = work_s + moved * factor / const.MOVE_TOKENS_PER_S
+        wait_s = item.wait_s(now)
+        read = const.MOVE_WORTH_PER_TOKEN * moved * factor
+        unread = max(0, prefix.shared_tokens - max(own, reachable))
+        if unread and name != holders.home:
+            read += const.HOME_CHANCE * const.REREAD_WORTH_PER_TOKEN * unread
+        late = late_chance(wait_s + read_s, demand.target_s) * const.LATE_PART
+        late += (wait_s + read_s) * const.WAIT_PART_PER_S
+        old = 0.0
+        if version in demand.stale:
+            old = const.OLD_WEIGHTS_PART * demand.worth
+        far = 0.0
+        if not self._is_near(item):
+            far = const.FAR_WORTH_PER_BYTE * demand.far_bytes
+        failing = const.FAILURE_PART * item.failures.value(now)
+        return Candidate(
+            upstream=item,
+            wait_s=wait_s,
+            read_s=read_s,
+            work_s=work_s,
+            cached_tokens=own,
+            source="" if source_item is None else source_item.entry.address,
+            late=late * demand.worth,
+            read=read,
+            far=far,
+            old=old,
+            failing=failing * demand.worth,
         )
 
-    def _far(self, item: upstreams.Upstream, cost_s: float) -> float:
-        return 0.0 if item.entry.data_centre == self._data_centre else cost_s
+    def _is_near(self, item: upstreams.Upstream) -> bool:
+        return item.entry.data_centre == self._data_centre
 
     def _take(self, found: list[Candidate]) -> Choice | None:
         if not found:
             return None
         self._rng.shuffle(found)
-        best = min(found, key=lambda item: item.cost_s)
-        return Choice(best, considered=len(found))
-
-
-def _source(best: Candidate, found: list[Candidate], home: str) -> str:
-    """Returns the address of the candidate that holds most of the prompt."""
-    richest = max(found, key=lambda item: item.cached_tokens)
-    del home
-    if richest.cached_tokens <= best.cached_tokens:
-        return ""
-    return richest.upstream.entry.address
+        best = min(found, key=lambda item: item.cost)
+        return Choice(best, len(found))
--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -7,9 +7,10 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 import dataclasses
 import enum
+import json
 import random
 from typing import Protocol
 
@@ -26,6 +27,8 @@
 # An engine loads at full speed while no more than this part of them do so.
 LOADING_PART = 0.4
 REPORT_PERIOD_S = 0.15
+# Those that may take a free lease do not all ask at the same moment.
+TAKE_SPREAD_S = 0.06
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,6 +68,52 @@
     NONE = "no_answer"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineNotice:
+    """What peers are told of an engine.
+
+    Attributes:
+        held: whether it has the version; else an order is about to go out.
+    """
+
+    upstream: str
+    born: int
+    model: str
+    version: int
+    held: bool
+
+
+Announce = Callable[[EngineNotice], Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Handover:
+    """What a holder leaves to the next one.
+
+    Attributes:
+        fencing: the number under which it gave its orders.
+        ages_s: seconds since the last order to each engine.
+    """
+
+    fencing: int
+    ages_s: Mapping[str, float]
+
+    def encode(self) -> bytes:
+        """Returns the text that is kept in the store."""
+        return json.dumps(dataclasses.asdict(self)).encode()
+
+
+def handover_of(value: bytes) -> Handover | None:
+    """Reads what a holder left; none when it cannot be read."""
+    try:
+        found = json.loads(value)
+        ages = {str(k): float(v) for k, v in found["ages_s"].items()}
+        return Handover(int(found["fencing"]), ages)
+    except (ValueError, KeyError, TypeError, AttributeError) as err:
+        decisions.record("handover_unreadable", detail=repr(err))
+        return None
+
+
 class OrderLink(Protocol):
     """Talks to engines about orders."""
 
@@ -87,7 +136,10 @@
     named: Mapping[str, int],
     under_way: set[str],
 ) -> list[tuple[upstreams.Upstream, str, int]]:
-    """Returns which engines are due for which version, the idlest first."""
+    """Returns which engines are due for which version.
+
+    Those with the oldest weights come first, of these the idlest.
+    """
     due = []
     engines: dict[str, int] = {}
     loading: dict[str, int] = {}
@@ -102,7 +154,7 @@
                 loading[model] = loading.get(model, 0) + 1
             elif item.weights[model] < version:
                 due.append((item, model, version))
-    due.sort(key=lambda found: found[0].in_flight)
+    due.sort(key=lambda found: (found[0].weights[found[1]], found[0].in_flight))
     picked = []
     for item, model, version in due:
         if loading.get(model, 0) < loading_limit(engines[model]):
@@ -120,19 +172,39 @@
         fleet: fleet_state.Fleet,
         link: OrderLink,
         may_take: Callable[[], bool],
+        announce: Announce,
+        leave_behind: Callable[[bytes], Awaitable[None]],
         clock: clocks.Clock,
         rng: random.Random,
     ):
+        """Makes a rollout.
+
+        Args:
+            holder: the lease.
+            fleet: which weights are named, and who holds which.
+            link: talks to engines.
+            may_take: whether the lease seems free and is ours to try.
+            announce: tells peers of an engine.
+            leave_behind: keeps a handover for the next holder.
+            clock: the clocks.
+            rng: draws pauses.
+        """
         self._holder = holder
         self._fleet = fleet
         self._link = link
         self._may_take = may_take
+        self._announce = announce
+        self._leave_behind = leave_behind
         self._clock = clock
         self._rng = rng
         self._tasks = background.Tasks()
         self._under_way: set[str] = set()
         self._wake = asyncio.Event()
+        self._free = asyncio.Event()
         self._held = False
+        self._last_orders: dict[str, float] = {}
+        self._handover: tuple[Handover, float] | None = None
+        self._previous_fencing = 0
         fleet.on_weights(self._wake.set)
 
     @property
@@ -140,6 +212,20 @@
         """Whether this router gives the orders."""
         return self._holder.time_left() > 0
 
+    def lease_changed(self, revision: int, held: bool) -> None:
+        """Takes note of who holds the lease, as the store shows it."""
+        if held:
+            if revision != self._holder.fencing:
+                self._previous_fencing = revision
+        else:
+            self._free.set()
+
+    def handed_over(self, value: bytes) -> None:
+        """Takes note of what a holder left behind."""
+        found = handover_of(value)
+        if found is not None:
+            self._handover = (found, self._clock.boottime())
+
     async def run_lease(self) -> None:
         """Keeps the lease for ever."""
         while True:
@@ -152,16 +238,37 @@
                     self._wake.set()
                 self._held = held
             pause = const.HOLDER_RENEW_S * self._rng.uniform(0.8, 1.0)
-            await asyncio.sleep(pause)
+            self._free.clear()
+            try:
+                async with asyncio.timeout(pause):
+                    await self._free.wait()
+                    await asyncio.sleep(TAKE_SPREAD_S * self._rng.random())
+            except TimeoutError:
+                continue
+
+    def _turn_over(self, name: str) -> bool:
+        """Whether an older holder's orders to an engine lie far enough back."""
+        if self._holder.settled():
+            return True
+        if self._handover is None:
+            return False
+        handover, at = self._handover
+        if handover.fencing != self._previous_fencing:
+            return False
+        age_s = handover.ages_s.get(name, const.TURN_S)
+        return age_s + self._clock.boottime() - at >= const.TURN_S
 
     async def run(self) -> None:
         """Gives orders for ever."""
         while True:
-            if self.holding and self._holder.settled():
+            if self.holding:
                 self.step()
             self._wake.clear()
+            pause = const.HOLDER_RENEW_S
+            if self.holding and not self._holder.settled():
+                pause = REPORT_PERIOD_S
             try:
-                async with asyncio.timeout(const.HOLDER_RENEW_S):
+                async with asyncio.timeout(pause):
                     await self._wake.wait()
             except TimeoutError:
                 continue
@@ -172,6 +279,8 @@
             self._fleet.upstreams.known, self._fleet.weights, self._under_way
         )
         for item, model, version in due:
+            if not self._turn_over(item.entry.name):
+                continue
             self._under_way.add(item.entry.name)
             self._tasks.spawn(self._bring(item, model, version))
 
@@ -203,6 +312,7 @@
             account = found.ok()
             item.holds(model, account.weights.get(model, 0))
             if item.weights.get(model, 0) >= version:
+                await self._tell(item, model, version, True)
                 return
             again = now - ordered_at >= const.ORDER_AGAIN_S
             if not account.busy and again:
@@ -222,6 +332,9 @@
         version: int,
         account: EngineAccount,
     ) -> OrderAnswer:
+        item.ordered(self._clock.monotonic())
+        await self._tell(item, model, version, False)
+        await asyncio.sleep(const.ORDER_NOTICE_S)
         # Checked right before the write: this router may have been paused.
         if self._holder.time_left() <= 0:
             return OrderAnswer.OTHER
@@ -233,6 +346,7 @@
             self._holder.fencing,
             account.orders,
         )
+        self._last_orders[item.entry.name] = self._clock.boottime()
         answer = await self._link.order(order)
         decisions.record(
             "order",
@@ -247,7 +361,20 @@
         )
         return answer
 
+    async def _tell(
+        self, item: upstreams.Upstream, model: str, version: int, held: bool
+    ) -> None:
+        entry = item.entry
+        await self._announce(
+            EngineNotice(entry.name, entry.born, model, version, held)
+        )
+
     async def close(self) -> None:
         """Stops orders under way and gives up the lease."""
         await self._tasks.close()
+        if self.holding:
+            now = self._clock.boottime()
+            ages = {name: now - at for name, at in self._last_orders.items()}
+            handover = Handover(self._holder.fencing, ages)
+            await self._leave_behind(handover.encode())
         await self._holder.release()
--- a/bergamotmill/dispatch/upstreams.py
+++ b/bergamotmill/dispatch/upstreams.py
@@ -72,10 +72,13 @@
         self.weights = dict(entry.weights)
         self._cold_until = now + entry.cold_left_s
         self._busy_until = 0.0
-        self._sent: dict[str, tuple[float, float]] = {}
+        self._order_until = 0.0
         self._running: dict[str, float] = {}
-        self._queue_s = 0.0
-        self._queue_at = 0.0
+        self._sent: dict[str, tuple[float, float]] = {}
+        self._backlog_s = 0.0
+        self._backlog_at = now
+        self._excess_s = 0.0
+        self._excess_at = now
 
     @property
     def in_flight(self) -> int:
@@ -88,37 +91,57 @@
         self.seen_at = now
         self._cold_until = now + entry.cold_left_s
         for model, version in entry.weights.items():
-            if version > self.weights.get(model, 0):
-                self.weights[model] = version
+            self.holds(model, version)
 
     def holds(self, model: str, version: int) -> None:
-        """Notes weights that an answer or an order showed."""
+        """Notes weights that an entry, an answer or a peer showed."""
         if version > self.weights.get(model, 0):
             self.weights[model] = version
+            self._order_until = 0.0
+
+    def ordered(self, now: float) -> None:
+        """Notes that an order is about to keep it from new work."""
+        self._order_until = now + const.ORDER_HOLD_S
+
+    def under_order(self, now: float) -> bool:
+        """Whether it is believed to be carrying out an order."""
+        return now < self._order_until
+
+    def add_work(self, work_s: float, now: float) -> None:
+        """Notes work that this process or a peer has sent there."""
+        self._backlog_s = self.backlog_s(now) + work_s
+        self._backlog_at = now
+
+    def backlog_s(self, now: float) -> float:
+        """Returns work that was sent there and cannot be done yet."""
+        return max(0.0, self._backlog_s - (now - self._backlog_at))
 
     def started(self, request_id: str, work_s: float, now: float) -> None:
         """Notes an attempt that brings so much work before its answer."""
-        self._sent[request_id] = (now, work_s)
+        expected = self.wait_s(now) + work_s
+        self._sent[request_id] = (now, expected)
         self._running[request_id] = now
+        self.add_work(work_s, now)
 
     def answering(self, request_id: str, now: float) -> None:
-        """Notes the first byte of an answer, and how long it queued."""
+        """Notes the first byte of an answer, and how late it was."""
         found = self._sent.pop(request_id, None)
         if found is None:
             return
-        sent_at, work_s = found
-        waited = max(0.0, now - sent_at - work_s)
-        self._queue_s = 0.5 * self.queue_s(now) + 0.5 * waited
-        self._queue_at = now
+        sent_at, expected = found
+        late = max(0.0, now - sent_at - expected)
+        self._excess_s = (self.excess_s(now) + late) / 2
+        self._excess_at = now
 
     def ended(self, request_id: str) -> None:
         """Notes the end of an attempt."""
         self._sent.pop(request_id, None)
         self._running.pop(request_id, None)
 
-    def queue_s(self, now: float) -> float:
-        """Returns the queueing last seen, which fades."""
-        return self._queue_s * math.exp(-max(0.0, now - self._queue_at))
+    def excess_s(self, now: float) -> float:
+        """Returns how much later than predicted answers begin; it fades."""
+        age = max(0.0, now - self._excess_at)
+        return self._excess_s * math.exp(-age / const.EXCESS_FADE_S)
 
     def refused(self, now: float) -> None:
         """Notes that it turned a request away."""
@@ -126,17 +149,16 @@
 
     def wait_s(self, now: float) -> float:
         """Returns the predicted wait before work on a request begins."""
-        own = sum(
-            max(0.0, work - (now - at)) for at, work in self._sent.values()
-        )
-        oldest = max(
-            (now - at - work for at, work in self._sent.values()), default=0.0
+        overdue = max(
+            (now - at - due for at, due in self._sent.values()), default=0.0
         )
-        wait = max(own, self.queue_s(now), oldest)
+        wait = max(self.backlog_s(now), overdue) + self.excess_s(now)
         if now < self._busy_until:
             wait += const.BUSY_PENALTY_S
         if now < self._cold_until:
             wait += const.BUSY_PENALTY_S
+        if now < self._order_until:
+            wait += self._order_until - now
         return wait
 
 
--- a/bergamotmill/platform/const.py
+++ b/bergamotmill/platform/const.py
@@ -19,6 +19,7 @@
 # Keys that routers write.
 PREFIX_ROUTERS = "routers/"
 KEY_HOLDER = "orders/holder"
+KEY_HANDOVER = "orders/handover"
 
 # Calls that arrive.
 PATH_READY = "/bergamotmill/readiness"
--- a/bergamotmill/platform/dialect.py
+++ b/bergamotmill/platform/dialect.py
@@ -18,6 +18,7 @@
         router_key=lambda name: const.PREFIX_ROUTERS + name,
         router_value=documents.router_value,
         holder_key=const.KEY_HOLDER,
+        handover_key=const.KEY_HANDOVER,
         front=lambda *parts: ingress.Ingress(*parts).handle,
         directory=lambda book: directory.DirectoryFront(book).handle,
         ready=lambda is_ready: directory.ReadyFront(is_ready).handle,
