--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -14,14 +14,16 @@
 STORE_DOUBT_S = 3.0
 
 # Engine cost model, from the sheet of the engines in service.
-PREFILL_TOKENS_PER_S = 61200.0
-STEP_S = 0.0037
+# A part of each step goes to the tokens of streams that are under way.
+PREFILL_TOKENS_PER_S = 55000.0
+ATTENTION_S_PER_PAIR = 3.24e-10
 COLD_REQUEST_S = 0.01
 
 # An order holds new work up for about so long: runs end, weights load.
 ORDER_HOLD_S = 1.5
 # Over so long the lateness of answers fades from the estimate.
-EXCESS_FADE_S = 1.0
+EXCESS_FADE_S = 0.7
+EXCESS_MAX_S = 0.8
 
 # Costs of a candidate are in units of worth; see placement.
 REQUEST_WORTH = 0.6
@@ -40,7 +42,8 @@
 # A part that nobody here knows of may be at its home nevertheless.
 HOME_CHANCE = 0.5
 FAR_WORTH_PER_BYTE = 8e-6
-EVENT_BYTES = 110
+# Bytes of an answer for each output token: an event holds several.
+EVENT_BYTES = 15
 FAR_PLAIN_S = 0.004
 OLD_WEIGHTS_PART = 0.2
 # Older weights cost nothing at first and may not be used in the end.
@@ -48,11 +51,21 @@
 OLD_WEIGHTS_LAST_S = 6.5
 # A process that has just started cannot know when a version was named.
 UNKNOWN_NAMED_AGE_S = 4.0
+# Ranks at the engines by priority; what an engine has lost goes first.
+URGENCY_RETRY = 1
+URGENCY_FIRST = 2
+URGENCY_LAST = 8
+# Nothing came for so long after an answer was due: try another upstream.
+SILENT_S = 0.6
+SILENT_CHECK_S = 0.2
 # How long a part stays in an engine's memory after its last use.
 KEPT_S = 10.0
 
 RETRY_PAUSE_S = 0.25
 RETRY_JITTER = 0.5
+# Parts of the time left after which an overloaded fleet asks callers back;
+# they honour a third at most.
+OVERLOAD_PAUSE_PARTS = (0.15, 0.33)
 BUSY_PENALTY_S = 0.3
 BUSY_FORGET_S = 0.4
 
@@ -61,7 +74,9 @@
 FAILURE_PART = 1.0
 FAILURE_PLAIN_S = 1.0
 
-NOTICE_PERIOD_S = 0.04
+NOTICE_PERIOD_S = 0.01
+# What was sent so lately, peers may have sent alike without our knowledge.
+HERD_WINDOW_S = 0.03
 NOTICE_TIMEOUT_S = 0.3
 NOTICE_RECEIVERS = 12
 
@@ -69,6 +84,8 @@
 ROSTER_LEASE_S = 4.0
 ROSTER_RENEW_S = 1.3
 WATCH_WAIT_S = 15.0
+# A watch that fails may have been deaf for so long before.
+BLIND_S = 2.0
 FEED_PAUSE_FIRST_S = 0.05
 FEED_PAUSE_LAST_S = 0.5
 PULL_AFTER_S = 0.4
@@ -83,7 +100,7 @@
 TURN_S = 3.2
 # Peers keep new work away for so long before an order goes out.
 ORDER_NOTICE_S = 0.08
-ORDER_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.5
 ORDER_PERIOD_S = 0.1
 # An order without an answer is given again after so long.
 ORDER_AGAIN_S = 1.5
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -175,7 +175,11 @@
         self.dispatcher = call_dispatcher.Dispatcher(
             self.fleet,
             self._dialect.link,
-            placement.Placement(self._settings.router.data_centre, self._rng),
+            placement.Placement(
+                self._settings.router.data_centre,
+                lambda: len(self.membership.alive()) - 1,
+                self._rng,
+            ),
             self._budget_of,
             self.notices,
             self.end_in,
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -1,7 +1,7 @@
 """Carries one call to an upstream and its answer back to the caller."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import random
 
 from bergamotmill.dispatch import config
@@ -12,6 +12,7 @@
 from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import ports
 from bergamotmill.dispatch import upstreams
+from bergamotmill.dispatch import waiting
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.helpers import run_state
@@ -22,6 +23,8 @@
 
 # A caller that is sent away by a leaving router may try another at once.
 LEAVING_S = 0.02
+# Candidates shown in logs beside the chosen one.
+SHOWN = 4
 MAX_BODY_BYTES = 16 * 1024 * 1024
 _EVENT_ID = b"id:"
 
@@ -33,10 +36,12 @@
         self.call = call
         self.tracker = run_state.RunTracker()
         self.tried: set[str] = set()
-        self.may_have_run = 0
+        self.runs = 0
         self.arrivals = 0
         self.last_event_id = call.last_event_id
         self.last_reason = ""
+        self.held = False
+        self.first_byte_s = 0.0
 
     @property
     def ran(self) -> bool:
@@ -82,9 +87,11 @@
         self._now = now
         self._rng = rng
         self._tasks = background.Tasks()
+        self._room = waiting.WaitingRoom(rng)
 
     async def close(self) -> None:
         """Cuts what is under way."""
+        self._room.close()
         await self._tasks.close()
 
     async def serve(self, call: messages.Call, sink: ports.Sink) -> None:
@@ -148,6 +155,11 @@
         )
         return const.RETRY_PAUSE_S * spread
 
+    def _overload_pause(self, call: messages.Call) -> float:
+        """Returns a hint to come back while there is time to be served."""
+        left = call.deadline - self._now()
+        return left * self._rng.uniform(*const.OVERLOAD_PAUSE_PARTS)
+
     async def _attempts(
         self, progress: Progress, sink: ports.Sink
     ) -> messages.Rejection | None:
@@ -161,9 +173,13 @@
             choice = self._choose(progress, service)
             if choice is None:
                 return self._give_up(progress, "no_upstream", self._pause())
-            late = self._too_late(progress, choice)
-            if late is not None:
-                return late
+            verdict = await self._admit(progress, choice)
+            if verdict is waiting.Verdict.REFUSE:
+                return self._give_up(
+                    progress, "overloaded", self._overload_pause(call)
+                )
+            if verdict is waiting.Verdict.HOLD:
+                continue
             if progress.arrivals and not budget.try_take(self._now()):
                 return self._give_up(progress, "retry_budget", self._pause())
             try:
@@ -196,14 +212,17 @@
         if call.generation is None:
             return self._placement.plain(ready, progress.tried, now)
         model = call.generation.model
-        demand = self._demand_of(call, {u.weights.get(model, 0) for u in ready})
+        demand = self._demand_of(
+            progress, {u.weights.get(model, 0) for u in ready}
+        )
         return self._placement.engine(
             demand, ready, model, known.locations, progress.tried, now
         )
 
     def _demand_of(
-        self, call: messages.Call, versions: set[int]
+        self, progress: Progress, versions: set[int]
     ) -> placement.Demand:
+        call = progress.call
         generation = call.generation
         model = generation.model
         superseded_s = {
@@ -229,15 +248,58 @@
             ),
         )
 
-    def _too_late(
+    def _urgency_of(self, progress: Progress) -> int:
+        if progress.arrivals:
+            return const.URGENCY_RETRY
+        wanted = const.URGENCY_FIRST + max(0, progress.call.priority)
+        return min(const.URGENCY_LAST, wanted)
+
+    def _outlook(
+        self, call: messages.Call, choice: placement.Choice
+    ) -> waiting.Outlook:
+        now = self._now()
+        return waiting.Outlook(
+            wait_s=choice.best.wait_s,
+            read_s=choice.best.read_s,
+            target_s=call.route.target_s - (now - call.received_at),
+            left_s=call.deadline - now,
+            allowed_s=call.deadline - call.received_at,
+        )
+
+    async def _admit(
         self, progress: Progress, choice: placement.Choice
-    ) -> messages.Rejection | None:
-        """Refuses at once what cannot begin before its deadline."""
-        left = progress.call.deadline - self._now()
-        needed = choice.best.first_byte_s
-        if needed <= left or progress.ran:
-            return None
-        return self._give_up(progress, "overloaded", needed - left)
+    ) -> waiting.Verdict:
+        """Judges a request; one that is held has waited when this returns."""
+        call = progress.call
+        if call.generation is None or progress.arrivals:
+            return waiting.Verdict.GO
+        outlook = self._outlook(call, choice)
+        verdict = waiting.judge(outlook)
+        if verdict is waiting.Verdict.HOLD:
+            if not progress.held:
+                progress.held = True
+                self._note_held(progress, choice, outlook)
+            await self._room.wait(
+                call.priority, call.received_at, waiting.hold_left_s(outlook)
+            )
+        return verdict
+
+    def _note_held(
+        self,
+        progress: Progress,
+        choice: placement.Choice,
+        outlook: waiting.Outlook,
+    ) -> None:
+        self._metrics.count("requests.held")
+        decisions.record(
+            "held",
+            request=progress.call.request_id,
+            waiting=len(self._room),
+            wait_s=round(outlook.wait_s, 3),
+            read_s=round(outlook.read_s, 3),
+            target_s=round(outlook.target_s, 3),
+            considered=_brief(choice.ranked),
+        )
 
     async def _attempt(
         self,
@@ -251,11 +313,14 @@
         self._note_choice(progress, choice, attempt)
         progress.tried.add(item.entry.name)
         progress.tracker.sending()
-        item.started(call.request_id, choice.best.work_s, self._now())
+        item.started(
+            call.request_id,
+            choice.best.work_s,
+            self._now(),
+        )
         reply = None
         try:
-            reply = await self._send(progress, attempt)
-            progress.may_have_run += 1
+            reply = await self._send(progress, attempt, item)
             item.answering(call.request_id, self._now())
             if call.generation is not None and reply.head.weights:
                 item.holds(call.generation.model, reply.head.weights)
@@ -265,7 +330,9 @@
             reply = None
             return None
         except errors.UpstreamError as err:
-            if not err.ran:
+            if err.ran:
+                progress.runs += 1
+            else:
                 progress.tracker.refused_unrun()
             if err.sent:
                 progress.arrivals += 1
@@ -288,7 +355,7 @@
             model = call.generation.model
             weights = choice.best.upstream.weights.get(model, 0)
             scope = self._scope(call, weights)
-            urgency = min(9, max(0, call.priority + 3))
+            urgency = self._urgency_of(progress)
             self._learn(call, scope, choice)
         return messages.Attempt(
             address=entry.address,
@@ -315,20 +382,29 @@
         self._notices.sent(entry, prefix.digests, best.work_s)
 
     async def _send(
-        self, progress: Progress, attempt: messages.Attempt
+        self,
+        progress: Progress,
+        attempt: messages.Attempt,
+        item: upstreams.Upstream,
     ) -> ports.Reply:
-        """Sends; a repeatable call does not wait for ever at one upstream."""
+        """Sends; a repeatable call leaves an upstream that went silent."""
         call = progress.call
-        if not call.route.repeatable or progress.may_have_run:
-            return await self._link.send(call, attempt)
-        patience = max(2.0 * call.route.target_s, attempt.time_left_s / 2)
+        sending = self._tasks.spawn(self._link.send(call, attempt))
         try:
-            async with asyncio.timeout(patience):
-                return await self._link.send(call, attempt)
-        except TimeoutError:
-            raise errors.UpstreamError(
-                errors.Failure.SILENT, f"no answer in {patience:.2f} s", True
-            )
+            while True:
+                done, _ = await asyncio.wait(
+                    {sending}, timeout=const.SILENT_CHECK_S
+                )
+                if done:
+                    return sending.result()
+                silent = item.silent_s(call.request_id, self._now())
+                if silent > const.SILENT_S and self._tries_again(progress):
+                    raise errors.UpstreamError(
+                        errors.Failure.SILENT, f"{silent:.2f} s", True
+                    )
+        finally:
+            if not sending.done():
+                sending.cancel()
 
     async def _pass_on(
         self,
@@ -353,7 +429,7 @@
             )
         route = progress.call.route
         if route.streams and head.ok:
-            await self._relay(progress, sink, reply)
+            await self._relay(progress, sink, reply, item)
         else:
             body = await self._whole(reply)
             if head.status >= 500 and self._tries_again(progress):
@@ -366,7 +442,7 @@
 
     def _tries_again(self, progress: Progress) -> bool:
         route = progress.call.route
-        return route.repeatable and progress.may_have_run < route.max_attempts
+        return route.repeatable and progress.runs + 1 < route.max_attempts
 
     async def _whole(self, reply: ports.Reply) -> bytes:
         parts = []
@@ -381,7 +457,11 @@
         return b"".join(parts)
 
     async def _relay(
-        self, progress: Progress, sink: ports.Sink, reply: ports.Reply
+        self,
+        progress: Progress,
+        sink: ports.Sink,
+        reply: ports.Reply,
+        item: upstreams.Upstream,
     ) -> None:
         """Passes a stream on; a resumable one in whole events only."""
         resumable = progress.call.route.resumable
@@ -390,6 +470,7 @@
             if not sink.started:
                 sink.start(reply.head)
                 self._note_first_byte(progress)
+            item.heard(self._now())
             if resumable:
                 found = splitter.feed(data)
                 data = b"".join(found)
@@ -417,6 +498,7 @@
     def _note_first_byte(self, progress: Progress) -> None:
         call = progress.call
         waited = self._now() - call.received_at
+        progress.first_byte_s = waited
         self._metrics.timing(f"first_byte.{call.route.name}", waited)
 
     def _may_retry(
@@ -443,11 +525,7 @@
         route = progress.call.route
         if not err.ran:
             return True
-        if not route.repeatable:
-            return False
-        if progress.may_have_run == 0:
-            progress.may_have_run = 1
-        return progress.may_have_run < max(2, route.max_attempts)
+        return route.repeatable and progress.runs < route.max_attempts
 
     def _note_choice(
         self,
@@ -470,10 +548,12 @@
             far=round(best.far, 4),
             old=round(best.old, 4),
             failing=round(best.failing, 4),
+            prefix=best.prefix,
             cached_tokens=best.cached_tokens,
             source=best.source,
             entry_age_s=round(now - best.upstream.seen_at, 2),
-            considered=choice.considered,
+            considered=len(choice.ranked),
+            next=_brief(choice.ranked[1:]),
             attempt=len(progress.tried) + 1,
             left_s=round(attempt.time_left_s, 3),
         )
@@ -502,5 +582,15 @@
             ran=progress.tracker.state.value,
             detail=progress.last_reason,
             seconds=round(seconds, 4),
+            first_byte_s=round(progress.first_byte_s, 4),
+            held=progress.held,
             **more,
         )
+
+
+def _brief(ranked: Sequence[placement.Candidate]) -> list[str]:
+    """Returns the cheapest few candidates with wait and cost, for logs."""
+    return [
+        f"{item.upstream.entry.name} {item.wait_s:.2f}s {item.cost:.2f}"
+        for item in ranked[:SHOWN]
+    ]
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -59,6 +59,8 @@
         self._store_ok = False
         self._store_ok_since = -const.STORE_DOUBT_S
         self._confirmed_at = float("-inf")
+        self._unseen_s = float("inf")
+        self._blind_since = float("-inf")
         self._ahead: dict[str, tuple[int, float]] = {}
 
     @property
@@ -71,6 +73,11 @@
         """Whether the latest call to the store succeeded."""
         return self._store_ok
 
+    @property
+    def unseen_s(self) -> float:
+        """For how long a change may have stood there before it was read."""
+        return self._unseen_s
+
     def disturbed(self) -> bool:
         """Whether the store fails or came back only lately."""
         since = self._now() - self._store_ok_since
@@ -103,6 +110,7 @@
         if found.is_err():
             self._store_failed(found.err().reason)
             return False
+        self._unseen_s = self._now() - self._blind_since
         self._store_answered()
         snapshot = found.ok()
         present = set()
@@ -116,6 +124,8 @@
                 gone = Document(key, snapshot.revision, None)
                 if known.value is not None:
                     self._adopt(gone, SOURCE_STORE)
+        self._unseen_s = 0.0
+        self._blind_since = float("inf")
         self._position = snapshot.revision
         self._revision = max(self._revision, snapshot.revision)
         return True
@@ -141,6 +151,7 @@
         error = found.err()
         if isinstance(error, key_value.Compacted):
             decisions.record("history_lost", detail=error.reason)
+            self._lost_sight()
             self._position = 0
             return True
         self._store_failed(error.reason)
@@ -155,7 +166,13 @@
             self._pause.reset()
             decisions.record("store_back", revision=self._revision)
 
+    def _lost_sight(self) -> None:
+        """Notes that changes may have gone unseen for a while."""
+        since = self._now() - const.BLIND_S
+        self._blind_since = min(self._blind_since, since)
+
     def _store_failed(self, reason: str) -> None:
+        self._lost_sight()
         if self._store_ok:
             decisions.record(
                 "store_lost", detail=reason, age_s=round(self.age_s(), 2)
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -205,7 +205,7 @@
         )
         self._weights[named.model] = named.version
         history = self._named.setdefault(named.model, [])
-        age_s = 0.0 if history else const.UNKNOWN_NAMED_AGE_S
+        age_s = min(const.UNKNOWN_NAMED_AGE_S, self._feed.unseen_s)
         history.append((named.version, self._now() - age_s))
         del history[:-NAMED_KEPT]
         self._tell(self._on_weights)
--- a/bergamotmill/dispatch/placement.py
+++ b/bergamotmill/dispatch/placement.py
@@ -10,7 +10,7 @@
 agree all the same.
 """
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 import dataclasses
 import math
 import random
@@ -43,6 +43,25 @@
         """How many parts several requests may share: all but the last."""
         return max(0, len(self.digests) - 1)
 
+    @property
+    def name(self) -> str:
+        """The shared beginning's name in logs."""
+        return f"{self.digests[self.shared - 1]:016x}" if self.shared else ""
+
+    @property
+    def home_level(self) -> int:
+        """The shared beginning whose home the prompt goes to.
+
+        A last part that is small is sooner read again than all before it.
+        """
+        level = max(0, self.shared - 1)
+        while level > 0:
+            before = self.tokens[level - 1]
+            if self.tokens[level] - before >= before:
+                break
+            level -= 1
+        return level
+
     @property
     def shared_tokens(self) -> int:
         """Tokens of the shared parts."""
@@ -74,6 +93,7 @@
         wait_s: until work on the request begins.
         read_s: until its prompt has been moved or read.
         source: the address from which to move parts; empty for none.
+        prefix: names the shared beginning in logs.
         late, read, far, old, failing: the terms, in units of worth.
     """
 
@@ -83,6 +103,7 @@
     work_s: float
     cached_tokens: int
     source: str
+    prefix: str
     late: float
     read: float
     far: float
@@ -102,10 +123,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Choice:
-    """The chosen candidate among so many."""
+    """The chosen candidate, and all from the cheapest on."""
 
     best: Candidate
-    considered: int
+    ranked: tuple[Candidate, ...]
 
 
 def prefix_of(generation: messages.Generation, scope: str) -> Prefix:
@@ -143,6 +164,17 @@
     return 1.0 / (1.0 + math.exp(-max(-40.0, min(40.0, ratio))))
 
 
+def reading_s(total: int, cached: int) -> float:
+    """Returns the work of reading a prompt beyond what is cached."""
+    missing = max(0, total - cached)
+    pairs = missing * (total + cached) / 2
+    return (
+        const.COLD_REQUEST_S
+        + missing / const.PREFILL_TOKENS_PER_S
+        + pairs * const.ATTENTION_S_PER_PAIR
+    )
+
+
 class Holders:
     """Who holds how much of one prompt, as far as is known or agreed."""
 
@@ -164,7 +196,7 @@
         self.home = ""
         self.first_home = ""
         if prefix.shared:
-            self.home = home_of(prefix.digests[prefix.shared - 1], names)
+            self.home = home_of(prefix.digests[prefix.home_level], names)
             self.first_home = home_of(prefix.digests[0], names)
 
     def tokens(self, name: str) -> int:
@@ -208,8 +240,21 @@
 class Placement:
     """Scores candidates and takes the cheapest."""
 
-    def __init__(self, data_centre: str, rng: random.Random):
+    def __init__(
+        self,
+        data_centre: str,
+        peers: Callable[[], int],
+        rng: random.Random,
+    ):
+        """Makes a placement.
+
+        Args:
+            data_centre: where this process is.
+            peers: returns how many others place requests on the same engines.
+            rng: breaks ties.
+        """
         self._data_centre = data_centre
+        self._peers = peers
         self._rng = rng
 
     def plain(
@@ -234,6 +279,7 @@
                     work_s=0.0,
                     cached_tokens=0,
                     source="",
+                    prefix="",
                     late=wait_s,
                     read=0.0,
                     far=far,
@@ -284,10 +330,9 @@
             source_item.entry.data_centre != item.entry.data_centre
         )
         factor = const.FAR_MOVE_FACTOR if far_move else 1.0
-        missing = max(0, prefix.total_tokens - max(own, reachable))
-        work_s = const.COLD_REQUEST_S + missing / const.PREFILL_TOKENS_PER_S
+        work_s = reading_s(prefix.total_tokens, max(own, reachable))
         read_s = work_s + moved * factor / const.MOVE_TOKENS_PER_S
-        wait_s = item.wait_s(now)
+        wait_s = item.wait_s(now) + item.unseen_s(self._peers(), now)
         read = const.MOVE_WORTH_PER_TOKEN * moved * factor
         unread = max(0, prefix.shared_tokens - max(own, reachable))
         if unread and name != holders.home:
@@ -308,6 +353,7 @@
             work_s=work_s,
             cached_tokens=own,
             source="" if source_item is None else source_item.entry.address,
+            prefix=prefix.name,
             late=late * demand.worth,
             read=read,
             far=far,
@@ -322,5 +368,5 @@
         if not found:
             return None
         self._rng.shuffle(found)
-        best = min(found, key=lambda item: item.cost)
-        return Choice(best, len(found))
+        found.sort(key=lambda item: item.cost)
+        return Choice(found[0], tuple(found))
--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -27,6 +27,10 @@
 # An engine loads at full speed while no more than this part of them do so.
 LOADING_PART = 0.4
 REPORT_PERIOD_S = 0.15
+# An engine that does not answer is asked again after so long, and one that
+# fails so large a share of its requests comes when it has recovered.
+UNREACHABLE_S = 1.5
+FAILING = 0.7
 # Those that may take a free lease do not all ask at the same moment.
 TAKE_SPREAD_S = 0.06
 
@@ -199,6 +203,8 @@
         self._rng = rng
         self._tasks = background.Tasks()
         self._under_way: set[str] = set()
+        # Engines that did not answer, and when to ask them again.
+        self._unreachable: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._free = asyncio.Event()
         self._held = False
@@ -275,9 +281,19 @@
 
     def step(self) -> None:
         """Starts what is due."""
-        due = next_engines(
-            self._fleet.upstreams.known, self._fleet.weights, self._under_way
-        )
+        now = self._clock.monotonic()
+        self._unreachable = {
+            name: until
+            for name, until in self._unreachable.items()
+            if until > now
+        }
+        reachable = {
+            name: item
+            for name, item in self._fleet.upstreams.known.items()
+            if name not in self._unreachable
+            and item.failures.value(now) < FAILING
+        }
+        due = next_engines(reachable, self._fleet.weights, self._under_way)
         for item, model, version in due:
             if not self._turn_over(item.entry.name):
                 continue
@@ -303,6 +319,7 @@
             found = await self._link.account(item.entry)
             now = self._clock.monotonic()
             if found.is_err():
+                self._unreachable[item.entry.name] = now + UNREACHABLE_S
                 decisions.record(
                     "account_missing",
                     upstream=item.entry.name,
--- a/bergamotmill/dispatch/upstreams.py
+++ b/bergamotmill/dispatch/upstreams.py
@@ -62,6 +62,15 @@
         self._at = now
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    """An attempt without an answer yet, and when one was expected."""
+
+    since: float
+    expected_s: float
+    work_s: float
+
+
 class Upstream:
     """One upstream: its entry, what it is doing and how it fares."""
 
@@ -74,11 +83,14 @@
         self._busy_until = 0.0
         self._order_until = 0.0
         self._running: dict[str, float] = {}
-        self._sent: dict[str, tuple[float, float]] = {}
+        self._waiting: dict[str, _Waiting] = {}
         self._backlog_s = 0.0
         self._backlog_at = now
         self._excess_s = 0.0
         self._excess_at = now
+        self._heard_at = now
+        self._burst_s = 0.0
+        self._burst_at = now - const.HERD_WINDOW_S
 
     @property
     def in_flight(self) -> int:
@@ -95,9 +107,13 @@
 
     def holds(self, model: str, version: int) -> None:
         """Notes weights that an entry, an answer or a peer showed."""
-        if version > self.weights.get(model, 0):
-            self.weights[model] = version
-            self._order_until = 0.0
+        if version <= self.weights.get(model, 0):
+            return
+        self.weights[model] = version
+        # Loading them ended all that waited there.
+        self._order_until = 0.0
+        self._backlog_s = 0.0
+        self._excess_s = 0.0
 
     def ordered(self, now: float) -> None:
         """Notes that an order is about to keep it from new work."""
@@ -119,23 +135,43 @@
     def started(self, request_id: str, work_s: float, now: float) -> None:
         """Notes an attempt that brings so much work before its answer."""
         expected = self.wait_s(now) + work_s
-        self._sent[request_id] = (now, expected)
+        self._waiting[request_id] = _Waiting(now, expected, work_s)
         self._running[request_id] = now
         self.add_work(work_s, now)
+        if now - self._burst_at > const.HERD_WINDOW_S:
+            self._burst_s = 0.0
+            self._burst_at = now
+        self._burst_s += work_s
+
+    def unseen_s(self, peers: int, now: float) -> float:
+        """Returns work that peers may be sending at this very moment.
+
+        They see what this process sees, and so tend to choose alike.
+        """
+        if now - self._burst_at > const.HERD_WINDOW_S:
+            return 0.0
+        return self._burst_s * peers
 
     def answering(self, request_id: str, now: float) -> None:
         """Notes the first byte of an answer, and how late it was."""
-        found = self._sent.pop(request_id, None)
+        self.heard(now)
+        found = self._waiting.pop(request_id, None)
         if found is None:
             return
-        sent_at, expected = found
-        late = max(0.0, now - sent_at - expected)
+        late = max(0.0, now - found.since - found.expected_s)
+        late = min(late, const.EXCESS_MAX_S)
         self._excess_s = (self.excess_s(now) + late) / 2
         self._excess_at = now
 
+    def heard(self, now: float) -> None:
+        """Notes that bytes came from there."""
+        self._heard_at = now
+
     def ended(self, request_id: str) -> None:
-        """Notes the end of an attempt."""
-        self._sent.pop(request_id, None)
+        """Notes the end of an attempt; what was not begun is work saved."""
+        found = self._waiting.pop(request_id, None)
+        if found is not None:
+            self._backlog_s = max(0.0, self._backlog_s - found.work_s)
         self._running.pop(request_id, None)
 
     def excess_s(self, now: float) -> float:
@@ -143,6 +179,14 @@
         age = max(0.0, now - self._excess_at)
         return self._excess_s * math.exp(-age / const.EXCESS_FADE_S)
 
+    def silent_s(self, request_id: str, now: float) -> float:
+        """Returns for how long nothing came although an answer was due."""
+        found = self._waiting.get(request_id)
+        if found is None:
+            return 0.0
+        due = max(found.since + found.expected_s, self._heard_at)
+        return max(0.0, now - due)
+
     def refused(self, now: float) -> None:
         """Notes that it turned a request away."""
         self._busy_until = now + const.BUSY_FORGET_S
@@ -150,9 +194,11 @@
     def wait_s(self, now: float) -> float:
         """Returns the predicted wait before work on a request begins."""
         overdue = max(
-            (now - at - due for at, due in self._sent.values()), default=0.0
+            (now - w.since - w.expected_s for w in self._waiting.values()),
+            default=0.0,
         )
-        wait = max(self.backlog_s(now), overdue) + self.excess_s(now)
+        wait = max(self.backlog_s(now), overdue)
+        wait += self.excess_s(now)
         if now < self._busy_until:
             wait += const.BUSY_PENALTY_S
         if now < self._cold_until:
