--- a/bergamotmill/dispatch/config.py
+++ b/bergamotmill/dispatch/config.py
@@ -4,6 +4,12 @@
 import dataclasses
 import enum
 
+# Callers leave a stream after a gap of so long, of so many times the target,
+# or of so many times the longest pause, whichever is most.
+LEAST_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_PAUSES = 8.0
+
 
 class RequestKind(enum.Enum):
     """What may be repeated."""
@@ -28,6 +34,7 @@
     Attributes:
         timeout_s: the longest time that a caller is kept waiting.
         target_s: first byte (streams) or whole answer due for full credit.
+        pause_s: the longest pause between events for full credit.
         priority: rank of the requests; 0 is the most urgent.
         max_attempts: upstreams that one request may run on.
         anonymous: whether requests need no key.
@@ -45,6 +52,19 @@
     max_attempts: int = 1
     anonymous: bool = False
     resumable: bool = False
+    pause_s: float = 0.0
+
+    @property
+    def patience_s(self) -> float:
+        """How long callers wait for the first byte before they leave."""
+        if not self.streams:
+            return self.timeout_s
+        gap_s = max(
+            LEAST_PATIENCE_S,
+            PATIENCE_TARGETS * self.target_s,
+            PATIENCE_PAUSES * self.pause_s,
+        )
+        return min(self.timeout_s, gap_s)
 
     @property
     def repeatable(self) -> bool:
--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -4,7 +4,7 @@
 RETURN_MARGIN_S = 0.02
 # Least time worth an attempt; a tenth of a short deadline is no offer.
 LEAST_ATTEMPT_S = 0.1
-CONNECT_TIMEOUT_S = 0.5
+CONNECT_TIMEOUT_S = 0.3
 # A connection idle for longer may have been forgotten on the way.
 IDLE_REUSE_S = 4.0
 
@@ -58,6 +58,8 @@
 # Nothing came for so long after an answer was due: try another upstream.
 SILENT_S = 0.6
 SILENT_CHECK_S = 0.2
+# A silent upstream is tested with a connection at most so often.
+TEST_PERIOD_S = 0.5
 # How long a part stays in an engine's memory after its last use.
 KEPT_S = 10.0
 
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -27,6 +27,7 @@
 SHOWN = 4
 MAX_BODY_BYTES = 16 * 1024 * 1024
 _EVENT_ID = b"id:"
+_EJECTING = (errors.Failure.CONNECT, errors.Failure.SILENT)
 
 
 class Progress:
@@ -207,8 +208,10 @@
     ) -> placement.Choice | None:
         call = progress.call
         known = self._fleet.upstreams
-        ready = known.ready(service)
         now = self._now()
+        ready = known.ready(service)
+        # When all are ejected, any is better than none.
+        ready = [item for item in ready if item.usable(now)] or ready
         if call.generation is None:
             return self._placement.plain(ready, progress.tried, now)
         model = call.generation.model
@@ -262,10 +265,15 @@
             wait_s=choice.best.wait_s,
             read_s=choice.best.read_s,
             target_s=call.route.target_s - (now - call.received_at),
-            left_s=call.deadline - now,
-            allowed_s=call.deadline - call.received_at,
+            left_s=self._first_byte_by(call) - now,
+            allowed_s=self._first_byte_by(call) - call.received_at,
         )
 
+    def _first_byte_by(self, call: messages.Call) -> float:
+        """Returns when the caller leaves if nothing has come."""
+        patience_end = call.received_at + call.route.patience_s
+        return min(call.deadline, patience_end)
+
     async def _admit(
         self, progress: Progress, choice: placement.Choice
     ) -> waiting.Verdict:
@@ -325,7 +333,7 @@
             if call.generation is not None and reply.head.weights:
                 item.holds(call.generation.model, reply.head.weights)
             await self._pass_on(progress, sink, reply, item)
-            item.failures.note(False, self._now())
+            item.succeeded(self._now())
             reply.release()
             reply = None
             return None
@@ -398,7 +406,10 @@
                 if done:
                     return sending.result()
                 silent = item.silent_s(call.request_id, self._now())
-                if silent > const.SILENT_S and self._tries_again(progress):
+                if silent > const.SILENT_S and (
+                    self._tries_again(progress)
+                    or await self._is_dead(item, attempt)
+                ):
                     raise errors.UpstreamError(
                         errors.Failure.SILENT, f"{silent:.2f} s", True
                     )
@@ -406,6 +417,14 @@
             if not sending.done():
                 sending.cancel()
 
+    async def _is_dead(
+        self, item: upstreams.Upstream, attempt: messages.Attempt
+    ) -> bool:
+        """Whether a silent upstream takes no connection either."""
+        if not item.may_test(self._now()):
+            return False
+        return not await self._link.answers(attempt.address)
+
     async def _pass_on(
         self,
         progress: Progress,
@@ -510,7 +529,13 @@
         item = choice.best.upstream
         progress.last_reason = str(err)
         if err.failure is not errors.Failure.REFUSED:
-            item.failures.note(True, self._now())
+            at_once = err.failure in _EJECTING
+            if item.failed(self._now(), at_once):
+                decisions.record(
+                    "upstream_ejected",
+                    upstream=item.entry.name,
+                    failure=err.failure.value,
+                )
             self._link.forget(item.entry.address)
         self._metrics.count(f"upstream.failures.{err.failure.value}")
         decisions.record(
--- a/bergamotmill/dispatch/ports.py
+++ b/bergamotmill/dispatch/ports.py
@@ -76,5 +76,8 @@
                 was sent.
         """
 
+    async def answers(self, address: str) -> bool:
+        """Whether an upstream takes a new connection."""
+
     def forget(self, address: str) -> None:
         """Closes idle connections to an address."""
--- a/bergamotmill/dispatch/upstreams.py
+++ b/bergamotmill/dispatch/upstreams.py
@@ -6,6 +6,7 @@
 import math
 
 from bergamotmill.dispatch import const
+from bergamotmill.routing import health as replica_health
 from bergamotmill.routing import locations as prefix_locations
 
 
@@ -78,6 +79,8 @@
         self.entry = entry
         self.seen_at = now
         self.failures = FailureRate()
+        self._health = replica_health.ReplicaHealth()
+        self._tested_at = now - const.TEST_PERIOD_S
         self.weights = dict(entry.weights)
         self._cold_until = now + entry.cold_left_s
         self._busy_until = 0.0
@@ -187,6 +190,27 @@
         due = max(found.since + found.expected_s, self._heard_at)
         return max(0.0, now - due)
 
+    def usable(self, now: float) -> bool:
+        """Whether new work may go there after failures."""
+        return self._health.usable(now)
+
+    def may_test(self, now: float) -> bool:
+        """Whether a connection may be opened to see if it is alive."""
+        if now - self._tested_at < const.TEST_PERIOD_S:
+            return False
+        self._tested_at = now
+        return True
+
+    def failed(self, now: float, at_once: bool) -> bool:
+        """Takes note of a failed attempt; True when that ejects it."""
+        self.failures.note(True, now)
+        return at_once and self._health.failed(now, at_once)
+
+    def succeeded(self, now: float) -> None:
+        """Takes note of a whole answer."""
+        self.failures.note(False, now)
+        self._health.succeeded(now)
+
     def refused(self, now: float) -> None:
         """Notes that it turned a request away."""
         self._busy_until = now + const.BUSY_FORGET_S
--- a/bergamotmill/platform/documents.py
+++ b/bergamotmill/platform/documents.py
@@ -158,6 +158,7 @@
         max_attempts=int(item.get("maxAttempts", 1)),
         anonymous=bool(item.get("anonymous", False)),
         resumable=bool(item.get("resumable", False)),
+        pause_s=float(item.get("targetGapMs", 0)) / 1000.0,
     )
 
 
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -78,6 +78,15 @@
         """Closes idle connections to an address."""
         self._pool.suspect(address)
 
+    async def answers(self, address: str) -> bool:
+        """Whether a replica takes a new connection."""
+        try:
+            conn = await self._pool.acquire(address, fresh=True)
+        except http_errors.ConnectError:
+            return False
+        conn.close()
+        return True
+
     async def send(
         self, call: messages.Call, attempt: messages.Attempt
     ) -> Reply:
--- /dev/null
+++ b/bergamotmill/standin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: store, replicas and callers."""
--- /dev/null
+++ b/bergamotmill/standin/platform/fleet.py
@@ -0,0 +1,316 @@
+"""Routers on a stand-in of the platform, in memory on a virtual clock."""
+
+import asyncio
+import contextvars
+import dataclasses
+import random
+from typing import Any
+
+from bergamotmill.dispatch import daemon
+from bergamotmill.dispatch import settings as router_settings
+from bergamotmill.helpers import http_client
+from bergamotmill.helpers import http_errors
+from bergamotmill.platform import const
+from bergamotmill.platform import dialect
+from bergamotmill.platform import store as platform_store
+from bergamotmill.standin import peer_bus
+from bergamotmill.standin.platform import replica
+from bergamotmill.standin.platform import store
+from bergamotmill.util import clock as clocks
+from bergamotmill.util import memory_network
+
+STORE_HOST = "10.0.3.1"
+CALLER_HOST = "10.0.9.9"
+MODEL = "drafter"
+HOST = "calls.example"
+KEYS = {"key-one": "one", "key-two": "two", "key-alone": "alone"}
+SETTLE_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Sizes:
+    """How large the fleet is."""
+
+    routers: int = 3
+    engines: int = 3
+    services: int = 2
+    data_centres: int = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What a caller got; no status when the connection broke."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
+    seconds: float = 0.0
+    whole: bool = True
+
+    def events(self) -> list[int]:
+        """Returns the numbers of a stream's events."""
+        return [
+            int(line[4:])
+            for line in self.body.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+
+
+def router_host(index: int) -> str:
+    """Returns a router's host."""
+    return f"10.0.0.{index + 1}"
+
+
+def _data_centre(index: int, sizes: Sizes) -> str:
+    return f"dc-{index % sizes.data_centres}"
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration as operators write it."""
+    tenants = {
+        name: {"name": name, "apiKeys": [key], "isolated": name == "alone"}
+        for key, name in KEYS.items()
+    }
+    routes = [
+        _route("review", "stream", 15000, 800, "engines", maxAttempts=1),
+        _route(
+            "check",
+            "stream",
+            3000,
+            500,
+            "engines",
+            maxAttempts=2,
+            resumable=True,
+        ),
+        _route("filing", "non_idempotent", 1500, 400, "registry"),
+        _route("lookup", "idempotent", 1500, 400, "registry", maxAttempts=2),
+    ]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {
+                "name": "engines",
+                "healthPath": "/health",
+                "maxConnections": 360,
+                "engine": {"slots": 64, "kvCapacityTokens": 259523},
+            },
+            {"name": "registry", "healthPath": "/health"},
+        ],
+        "limits": {"headerBytes": 16384, "bodyBytes": 65536},
+        "tenants": list(tenants.values()),
+        **changes,
+    }
+
+
+def _route(name, kind, timeout_ms, target_ms, service, **more):
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": target_ms,
+        "priority": 0 if name == "check" else 1,
+        "service": service,
+        "targetGapMs": 400,
+        **more,
+    }
+
+
+class PlatformFleet:
+    """Starts and ends the parts."""
+
+    def __init__(
+        self,
+        network: memory_network.MemoryNetwork,
+        rng: random.Random,
+        sizes: Sizes | None = None,
+    ):
+        self.network = network
+        self.rng = rng
+        self.sizes = sizes or Sizes()
+        self.bus = peer_bus.PeerBus(network, rng)
+        self.store = store.StoreStandIn(f"{STORE_HOST}:80", rng)
+        self.replicas: dict[str, replica.ReplicaStandIn] = {}
+        self.routers: dict[int, daemon.Daemon] = {}
+        self._incarnation = 0
+        self._next_id = 0
+        self._pool: http_client.Pool | None = None
+
+    async def as_host(self, host: str, coroutine) -> Any:
+        """Runs a coroutine as a host."""
+        context = contextvars.copy_context()
+        context.run(memory_network.HOST.set, host)
+        return await asyncio.create_task(coroutine, context=context)
+
+    async def start(self) -> None:
+        """Starts everything with a first configuration."""
+        self._pool = http_client.Pool()
+        await self.as_host(STORE_HOST, self.store.start())
+        for index in range(self.sizes.engines):
+            await self.start_replica(f"e{index}", f"10.0.1.{index + 1}", True)
+        for index in range(self.sizes.services):
+            await self.start_replica(f"s{index}", f"10.0.2.{index + 1}", False)
+        for index in range(self.sizes.routers):
+            await self.start_router(index)
+        await self.store.write(const.KEY_CONFIGURATION, configuration())
+        await asyncio.sleep(SETTLE_S)
+
+    async def start_replica(
+        self, name: str, host: str, engine: bool, **more: Any
+    ) -> replica.ReplicaStandIn:
+        """Starts a replica."""
+        self.network.revive(host)
+        number = int(host.rpartition(".")[2]) - 1
+        standin = replica.ReplicaStandIn(
+            name,
+            "engines" if engine else "registry",
+            f"{host}:80",
+            _data_centre(number, self.sizes),
+            self._publish,
+            model=MODEL if engine else "",
+            slots=64 if engine else 6,
+            **more,
+        )
+        self.replicas[name] = standin
+        await self.as_host(host, standin.start())
+        return standin
+
+    async def _publish(self, name: str, value: dict | None) -> None:
+        key = const.PREFIX_REPLICAS + name
+        if value is None:
+            await self.store.remove(key)
+        else:
+            await self.store.write(key, value)
+
+    async def crash_replica(self, name: str) -> None:
+        """Kills a replica without a word."""
+        standin = self.replicas.pop(name)
+        self.network.kill(standin.address.partition(":")[0])
+        await standin.close()
+
+    def settings(self, index: int) -> router_settings.Settings:
+        """Returns a router's settings."""
+        host = router_host(index)
+        others = [
+            f"{router_host(other)}:90"
+            for other in range(self.sizes.routers)
+            if other != index
+        ]
+        return router_settings.Settings(
+            router=router_settings.RouterSettings(
+                f"vm-{index}",
+                _data_centre(index, self.sizes),
+                "region",
+                f"{host}:80",
+                f"{host}:81",
+                f"{host}:82",
+                f"{host}:90",
+                f"{host}:83",
+            ),
+            store=router_settings.StoreSettings(f"{STORE_HOST}:80"),
+            retries=router_settings.RetrySettings(0.2, 54.0, 10.0),
+            shutdown=router_settings.ShutdownSettings(8.0),
+            fleet_key="0123456789abcdef",
+            seeds=tuple(others[:3]),
+        )
+
+    async def start_router(self, index: int) -> daemon.Daemon:
+        """Starts a router as a new incarnation."""
+        self._incarnation += 1
+        self.network.revive(router_host(index))
+        settings = self.settings(index)
+        router = daemon.Daemon(
+            settings,
+            platform_store.PlatformStore(settings.store.address),
+            dialect.make(settings),
+            clocks.LoopClock(),
+            random.Random(self.rng.random()),
+            self._incarnation,
+            self.bus.make_peers,
+            self.bus.make_server,
+        )
+        self.routers[index] = router
+        await self.as_host(router_host(index), router.start())
+        return router
+
+    async def crash_router(self, index: int) -> None:
+        """Kills a router; nothing leaves it any more."""
+        self.network.kill(router_host(index))
+        self.bus.leave(f"{router_host(index)}:90")
+        router = self.routers.pop(index)
+        await self.as_host(router_host(index), router.close())
+
+    async def stop_router(self, index: int) -> None:
+        """Ends a router as a signal does."""
+        router = self.routers[index]
+        await self.as_host(router_host(index), router.shut_down())
+        await self.crash_router(index)
+
+    async def close(self) -> None:
+        """Ends everything."""
+        for index in list(self.routers):
+            await self.crash_router(index)
+        for standin in self.replicas.values():
+            await standin.close()
+        await self.store.close()
+        self._pool.close()
+
+    def new_id(self) -> str:
+        """Returns an id that no request had."""
+        self._next_id += 1
+        return f"{self._next_id:016x}"
+
+    async def call(
+        self,
+        route: str,
+        router: int = 0,
+        key: str = "key-one",
+        request_id: str = "",
+        parts: str = "sys:512,file:4870,own:1000",
+        output: int = 20,
+        body: bytes = b"",
+        method: str = "POST",
+        **headers: str,
+    ) -> Answer:
+        """Sends one request on a connection of its own."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        lines = {
+            const.HEADER_REQUEST_ID: request_id or self.new_id(),
+            const.HEADER_KEY: key,
+        }
+        if route in ("review", "check"):
+            total = sum(int(p.split(":")[1]) for p in parts.split(","))
+            lines[const.HEADER_MODEL] = MODEL
+            lines[const.HEADER_TOKENS] = f"{total},{output}"
+            lines[const.HEADER_PARTS] = parts
+        lines.update({k.replace("_", "-"): v for k, v in headers.items()})
+        raw = [(k.encode(), v.encode()) for k, v in lines.items() if v]
+        got = b""
+        status = 0
+        found: dict[bytes, bytes] = {}
+        whole = False
+        try:
+            conn = await self._pool.acquire(f"{router_host(router)}:80", True)
+            head = await conn.request(
+                method, f"/{route}/x?a=1", raw, body, host=HOST
+            )
+            status, found = head.status, head.headers
+            while data := await conn.read():
+                got += data
+            whole = True
+            conn.close()
+        except http_errors.HttpError:
+            whole = False
+        return Answer(status, got, found, loop.time() - began, whole)
+
+    def runs(self, request_id: str = "") -> list[replica.Run]:
+        """Returns what the replicas ran, of one request or of all."""
+        return [
+            run
+            for standin in self.replicas.values()
+            for run in standin.runs
+            if request_id in ("", run.request_id)
+        ]
--- /dev/null
+++ b/bergamotmill/standin/platform/replica.py
@@ -0,0 +1,287 @@
+"""Stand-ins of the platform's replicas, with faults on demand."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import dataclasses
+import json
+from typing import Any
+
+from bergamotmill.helpers import http_server
+from bergamotmill.platform import const
+
+EVENT = b"id: %d\ndata: t%d\n\n"
+PREFILL_TOKENS_PER_S = 61200.0
+STEP_S = 0.004
+LOAD_S = 0.4
+
+Publish = Callable[[str, dict[str, Any] | None], Awaitable[None]]
+
+
+@dataclasses.dataclass
+class Run:
+    """A request that a replica began to work on."""
+
+    request_id: str
+    customer: str
+    scope: str
+    weights: int
+    began: float
+    resumed_after: int = 0
+    ended: str = ""
+
+
+@dataclasses.dataclass
+class Faults:
+    """What a replica does wrong.
+
+    Attributes:
+        lose_answers: runs requests and cuts the connection.
+        mute: takes requests and never answers.
+        cut_after: cuts streams after so many events; 0 for never.
+        order_delay_s: carries orders out late and leaves them unanswered.
+        errors: answers with a failure of its own.
+    """
+
+    lose_answers: bool = False
+    mute: bool = False
+    cut_after: int = 0
+    order_delay_s: float = 0.0
+    errors: bool = False
+
+
+class ReplicaStandIn:
+    """One replica; an engine when it has a model."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        address: str,
+        data_centre: str,
+        publish: Publish,
+        model: str = "",
+        weights: int = 1,
+        slots: int = 64,
+        work_s: float = 0.05,
+        born: int = 1,
+    ):
+        self.name = name
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.model = model
+        self.weights = weights
+        self.slots = slots
+        self.born = born
+        self.state = "ready"
+        self.faults = Faults()
+        self.runs: list[Run] = []
+        self.orders: list[tuple[str, int, int]] = []
+        self.refused = 0
+        self._publish = publish
+        self._work_s = work_s
+        self._sequence = 0
+        self._running = 0
+        self._loading = False
+        self._reading_until = 0.0
+        self._cached: dict[tuple[str, str], int] = {}
+        self._fence = 0
+        self._server = http_server.HttpServer(address, self._handle)
+
+    async def start(self) -> None:
+        """Starts listening and registers."""
+        await self._server.start()
+        await self.report()
+
+    async def close(self) -> None:
+        """Stops listening."""
+        await self._server.close()
+
+    async def report(self) -> None:
+        """Writes its entry."""
+        self._sequence += 1
+        models = []
+        if self.model:
+            models = [
+                {"name": self.model, "version": self.weights, "adapters": []}
+            ]
+        await self._publish(
+            self.name,
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": self.data_centre,
+                "version": "v1",
+                "slots": self.slots,
+                "state": self.state,
+                "coldLeftMs": 0,
+                "models": models,
+                "born": self.born,
+                "sequence": self._sequence,
+            },
+        )
+
+    async def leave(self) -> None:
+        """Reports that it is leaving."""
+        self.state = "draining"
+        await self.report()
+
+    async def vanish(self) -> None:
+        """Takes its entry away."""
+        await self._publish(self.name, None)
+
+    async def _handle(self, exchange: http_server.Exchange) -> None:
+        request = exchange.request
+        expected = request.headers.get(const.HEADER_UPSTREAM, self.name)
+        if expected != self.name:
+            exchange.respond(421, b"", self._lines(exchange))
+            return
+        if request.path == const.PATH_REPORT:
+            self._account(exchange)
+        elif request.path == const.PATH_ORDER:
+            await self._order(exchange)
+        else:
+            await self._serve(exchange)
+
+    def _lines(self, exchange) -> list[tuple[bytes, bytes]]:
+        name = const.HEADER_REQUEST_ID
+        request_id = exchange.request.headers.get(name, "")
+        return [
+            (name.encode(), request_id.encode()),
+            (const.HEADER_ANSWERED_BY.encode(), self.name.encode()),
+        ]
+
+    def _refuse(self, exchange) -> None:
+        self.refused += 1
+        lines = self._lines(exchange)
+        lines.append((const.HEADER_NOT_RUN.encode(), b"1"))
+        exchange.respond(503, b"", lines)
+
+    async def _serve(self, exchange) -> None:
+        headers = exchange.request.headers
+        wanted = headers.get(const.HEADER_WEIGHTS)
+        if self.model and wanted and int(wanted) != self.weights:
+            exchange.respond(421, b"", self._lines(exchange))
+            return
+        if self._loading or self._running >= self.slots:
+            self._refuse(exchange)
+            return
+        loop = asyncio.get_running_loop()
+        run = Run(
+            headers.get(const.HEADER_REQUEST_ID, ""),
+            headers.get(const.HEADER_CUSTOMER, ""),
+            headers.get(const.HEADER_SCOPE, ""),
+            self.weights,
+            loop.time(),
+            int(headers.get(const.HEADER_LAST_EVENT, "0")),
+        )
+        self.runs.append(run)
+        self._running += 1
+        try:
+            if self.model:
+                await self._generate(exchange, run)
+            else:
+                await self._work(exchange, run)
+        finally:
+            self._running -= 1
+
+    def _receipt(self, exchange) -> list[tuple[bytes, bytes]]:
+        lines = self._lines(exchange)
+        lines.append((const.HEADER_RECEIPT.encode(), self.name.encode()))
+        if self.model:
+            used = str(self.weights).encode()
+            lines.append((const.HEADER_WEIGHTS_USED.encode(), used))
+        return lines
+
+    async def _work(self, exchange, run: Run) -> None:
+        await asyncio.sleep(self._work_s)
+        if self.faults.mute:
+            await asyncio.sleep(60.0)
+        if self.faults.lose_answers:
+            run.ended = "lost"
+            exchange.abort()
+            return
+        run.ended = "error" if self.faults.errors else "ok"
+        status = 500 if self.faults.errors else 200
+        body = b"done:" + run.request_id.encode() + exchange.request.body
+        exchange.respond(status, body, self._receipt(exchange))
+
+    async def _generate(self, exchange, run: Run) -> None:
+        tokens, output = self._demand(exchange, run)
+        loop = asyncio.get_running_loop()
+        begin = max(self._reading_until, loop.time())
+        self._reading_until = begin + tokens / PREFILL_TOKENS_PER_S
+        await asyncio.sleep(self._reading_until - loop.time() + STEP_S)
+        if self.faults.mute:
+            await asyncio.sleep(60.0)
+        if exchange.disconnected:
+            run.ended = "left"
+            return
+        exchange.start(200, self._receipt(exchange))
+        for number in range(run.resumed_after + 1, output + 1):
+            if exchange.disconnected:
+                run.ended = "left"
+                return
+            if self.faults.cut_after and number > self.faults.cut_after:
+                run.ended = "cut"
+                exchange.write(b"id: %d\nda" % number)
+                await asyncio.sleep(0)
+                exchange.abort()
+                return
+            exchange.write(EVENT % (number, number))
+            await exchange.drain()
+            await asyncio.sleep(STEP_S)
+        exchange.finish()
+        run.ended = "ok"
+
+    def _demand(self, exchange, run: Run) -> tuple[int, int]:
+        """Returns the tokens to read and to write; caches the prompt."""
+        headers = exchange.request.headers
+        total, output = headers[const.HEADER_TOKENS].split(",")
+        held = 0
+        all_held = True
+        for part in headers[const.HEADER_PARTS].split(","):
+            name, _, tokens = part.partition(":")
+            key = (run.scope, name)
+            all_held = all_held and key in self._cached
+            if all_held:
+                held += int(tokens)
+            self._cached[key] = int(tokens)
+        return max(0, int(total) - held), int(output)
+
+    def _account(self, exchange) -> None:
+        models = [{"name": self.model, "version": self.weights}]
+        exchange.respond_json(
+            200,
+            {
+                "models": models,
+                "busy": self._loading,
+                "sequence": len(self.orders),
+            },
+        )
+
+    async def _order(self, exchange) -> None:
+        body = json.loads(exchange.request.body)
+        if self.faults.order_delay_s:
+            await asyncio.sleep(self.faults.order_delay_s)
+        if body["fenceToken"] < self._fence:
+            exchange.respond(412)
+            return
+        if self._loading or body["precondition"] != len(self.orders):
+            exchange.respond(409)
+            return
+        self._fence = body["fenceToken"]
+        order = (body["holder"], body["fenceToken"], body["version"])
+        self.orders.append(order)
+        self._loading = True
+        if self.faults.order_delay_s:
+            exchange.abort()
+        else:
+            exchange.respond(202)
+        while self._running:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(LOAD_S)
+        self.weights = body["version"]
+        self._cached.clear()
+        self._loading = False
+        await self.report()
--- /dev/null
+++ b/bergamotmill/standin/platform/store.py
@@ -0,0 +1,190 @@
+"""A stand-in of the platform's store, with faults on demand."""
+
+import asyncio
+import base64
+import enum
+import json
+import random
+from typing import Any
+
+from bergamotmill.helpers import http_server
+from bergamotmill.platform import const
+from bergamotmill.storage import key_value
+from bergamotmill.storage.memory import coordinator
+
+
+class Mode(enum.Enum):
+    """How the store answers."""
+
+    SERVING = "serving"
+    BUSY = "busy"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+SILENT_S = 60.0
+
+
+class StoreStandIn:
+    """Serves a memory store over the platform's protocol.
+
+    Attributes:
+        memory: what the operators and the replicas write to directly.
+        mode: how calls are answered.
+        lost_share: part of the writes whose answer is lost.
+        calls: calls by path.
+    """
+
+    def __init__(self, address: str, rng: random.Random):
+        self.memory = coordinator.MemoryStore()
+        self.mode = Mode.SERVING
+        self.lost_share = 0.0
+        self.calls: dict[str, int] = {}
+        self._rng = rng
+        self._server = http_server.HttpServer(address, self._handle)
+
+    async def start(self) -> None:
+        """Starts listening."""
+        await self._server.start()
+
+    async def close(self) -> None:
+        """Stops listening."""
+        await self._server.close()
+
+    async def write(self, key: str, value: Any) -> int:
+        """Writes as the operators and the replicas do."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        done = await self.memory.put(key, data, None)
+        return done.unwrap()
+
+    async def remove(self, key: str) -> None:
+        """Removes a key."""
+        await self.memory.delete(key, None)
+
+    async def _handle(self, exchange: http_server.Exchange) -> None:
+        if self.mode is Mode.BUSY:
+            exchange.respond(503)
+            return
+        if self.mode is Mode.RESET:
+            exchange.abort()
+            return
+        if self.mode is Mode.SILENT:
+            await asyncio.sleep(SILENT_S)
+            exchange.abort()
+            return
+        await self._answer(exchange)
+
+    async def _answer(self, exchange: http_server.Exchange) -> None:
+        request = exchange.request
+        path = request.path
+        name = path.rstrip("0123456789")
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if path == const.PATH_RANGE:
+            await self._range(exchange)
+        elif path == const.PATH_KEY:
+            await self._key(exchange)
+        elif path == const.PATH_WATCH:
+            await self._watch(exchange)
+        elif path == const.PATH_TRANSACTION:
+            await self._transact(exchange)
+        elif path == const.PATH_LEASE:
+            await self._grant(exchange)
+        elif path.startswith(const.PATH_KEEP):
+            lease = int(path[len(const.PATH_KEEP) :])
+            kept = (await self.memory.renew(lease)).unwrap()
+            exchange.respond_json(200 if kept else 404, {})
+        elif path.startswith(const.PATH_LEASE_END):
+            await self.memory.revoke(int(path[len(const.PATH_LEASE_END) :]))
+            exchange.respond_json(200, {})
+        else:
+            exchange.respond(404)
+
+    async def _range(self, exchange: http_server.Exchange) -> None:
+        prefix = exchange.request.query.get("prefix", "")
+        found = (await self.memory.snapshot(prefix)).unwrap()
+        items = [_item(entry) for entry in found.entries]
+        exchange.respond_json(
+            200,
+            {
+                "items": items,
+                "hasMore": False,
+                "storeRevision": found.revision,
+            },
+        )
+
+    async def _key(self, exchange: http_server.Exchange) -> None:
+        found = (await self.memory.get(exchange.request.query["key"])).unwrap()
+        if found is None:
+            exchange.respond_json(404, {})
+            return
+        exchange.respond_json(200, _item(found))
+
+    async def _watch(self, exchange: http_server.Exchange) -> None:
+        query = exchange.request.query
+        found = await self.memory.changes(
+            query.get("prefix", ""),
+            int(query["after"]),
+            int(query["waitMs"]) / 1000.0,
+        )
+        if self.mode is not Mode.SERVING:
+            exchange.abort()
+            return
+        if found.is_err():
+            exchange.respond_json(410, {})
+            return
+        changes = found.ok()
+        exchange.respond_json(
+            200,
+            {
+                "events": [_event(event) for event in changes.events],
+                "storeRevision": changes.revision,
+            },
+        )
+
+    async def _transact(self, exchange: http_server.Exchange) -> None:
+        body = json.loads(exchange.request.body)
+        expected = None
+        for row in body["precondition"]:
+            expected = row["revision"]
+        if body["puts"]:
+            put = body["puts"][0]
+            done = await self.memory.put(
+                put["key"],
+                base64.b64decode(put["value"]),
+                expected,
+                put.get("lease", 0),
+            )
+        else:
+            done = await self.memory.delete(body["remove"][0], expected)
+        if self._rng.random() < self.lost_share:
+            exchange.abort()
+            return
+        if done.is_ok():
+            exchange.respond_json(200, {"revision": self.memory.revision})
+        elif isinstance(done.err(), key_value.Conflict):
+            current = done.err().current
+            items = [] if current is None else [_item(current)]
+            exchange.respond_json(412, {"items": items})
+        else:
+            exchange.respond_json(404, {})
+
+    async def _grant(self, exchange: http_server.Exchange) -> None:
+        ttl_ms = json.loads(exchange.request.body)["ttlMs"]
+        lease = (await self.memory.grant(ttl_ms / 1000.0)).unwrap()
+        exchange.respond_json(200, {"lease": lease, "ttlMs": ttl_ms})
+
+
+def _item(entry: key_value.Entry) -> dict[str, Any]:
+    return {
+        "key": entry.key,
+        "value": base64.b64encode(entry.value).decode(),
+        "revision": entry.revision,
+        "created": entry.create_revision,
+        "lease": 0,
+    }
+
+
+def _event(event: key_value.Event) -> dict[str, Any]:
+    if event.entry is not None:
+        return _item(event.entry)
+    return {"key": event.key, "revision": event.revision, "deleted": True}
--- /dev/null
+++ b/tests/dispatch/test_calls.py
@@ -0,0 +1,305 @@
+"""Requests of all kinds through routers on the stand-in platform."""
+
+import asyncio
+import unittest
+
+from bergamotmill.platform import const
+from bergamotmill.standin.platform import fleet
+from tests import platform_case
+
+ROUTE_PREFIX = const.PREFIX_REPLICAS
+
+
+class CalmTest(platform_case.PlatformCase):
+    def test_each_kind_is_answered_with_the_replicas_own_answer(self):
+        async def scenario():
+            for route in ("review", "check"):
+                answer = await self.fleet.call(route)
+                self.assert_stream(answer)
+                self.assertIn(const.HEADER_RECEIPT.encode(), answer.headers)
+            answer = await self.fleet.call("filing", body=b"paper")
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.body.endswith(b"paper"))
+            answer = await self.fleet.call("lookup", method="GET")
+            self.assertEqual(answer.status, 200)
+
+        self.run_fleet(scenario)
+
+    def test_unknown_keys_and_routes_are_refused(self):
+        async def scenario():
+            answer = await self.fleet.call("filing", key="nobody")
+            self.assertEqual(answer.status, 401)
+            answer = await self.fleet.call("nothing")
+            self.assertEqual(answer.status, 404)
+            self.assertEqual(self.fleet.runs(), [])
+
+        self.run_fleet(scenario)
+
+    def test_headers_that_are_ours_are_never_a_callers(self):
+        async def scenario():
+            forged = {
+                const.HEADER_CUSTOMER: "two",
+                const.HEADER_SCOPE: "stolen",
+                const.HEADER_WEIGHTS: "7",
+                const.HEADER_UPSTREAM: "e9",
+            }
+            answer = await self.fleet.call("review", **forged)
+            self.assert_stream(answer)
+            (run,) = self.fleet.runs()
+            self.assertEqual(run.customer, "one")
+            self.assertNotIn("stolen", run.scope)
+
+        self.run_fleet(scenario)
+
+    def test_an_isolated_customer_shares_no_cache_scope(self):
+        async def scenario():
+            await self.fleet.call("review", key="key-one")
+            await self.fleet.call("review", key="key-two")
+            await self.fleet.call("review", key="key-alone")
+            scopes = [run.scope for run in self.fleet.runs()]
+            self.assertEqual(len(set(scopes)), 2)
+
+        self.run_fleet(scenario)
+
+    def test_a_repeated_header_is_refused(self):
+        async def scenario():
+            answer = await self.fleet.call(
+                "filing", request_id="a", **{"Key": "key-two"}
+            )
+            self.assertEqual(answer.status, 400)
+            self.assertEqual(self.fleet.runs(), [])
+
+        self.run_fleet(scenario)
+
+    def test_shared_parts_are_read_once_over_all_routers(self):
+        async def scenario():
+            for router in (0, 1, 2, 0, 1, 2):
+                answer = await self.fleet.call(
+                    "review", router=router, parts="s:512,f:20000,o:100"
+                )
+                self.assert_stream(answer)
+                await asyncio.sleep(0.2)
+            places = {
+                name for name, item in self.fleet.replicas.items() if item.runs
+            }
+            self.assertEqual(len(places), 1)
+
+        self.run_fleet(scenario)
+
+
+class FailureTest(platform_case.PlatformCase):
+    def test_a_filing_whose_answer_is_lost_runs_once_and_says_so(self):
+        async def scenario():
+            for item in self.fleet.replicas.values():
+                item.faults.lose_answers = True
+            answer = await self.fleet.call("filing", request_id="f1")
+            self.assertEqual(answer.status, 502)
+            self.assertEqual(len(self.fleet.runs("f1")), 1)
+
+        self.run_fleet(scenario)
+
+    def test_a_lookup_goes_on_elsewhere(self):
+        async def scenario():
+            self.fleet.replicas["s0"].faults.lose_answers = True
+            for _ in range(6):
+                answer = await self.fleet.call("lookup", method="GET")
+                self.assertEqual(answer.status, 200)
+
+        self.run_fleet(scenario)
+
+    def test_a_failure_of_the_replicas_own_is_passed_on_as_it_is(self):
+        async def scenario():
+            for item in self.fleet.replicas.values():
+                item.faults.errors = True
+            answer = await self.fleet.call("filing")
+            self.assertEqual(answer.status, 500)
+            self.assertIn(const.HEADER_RECEIPT.encode(), answer.headers)
+
+        self.run_fleet(scenario)
+
+    def test_no_route_runs_on_more_upstreams_than_it_allows(self):
+        async def scenario():
+            changed = fleet.configuration(2)
+            for route in changed["routes"]:
+                route["maxAttempts"] = 1
+            await self.fleet.store.write(const.KEY_CONFIGURATION, changed)
+            await asyncio.sleep(0.5)
+            for item in self.fleet.replicas.values():
+                item.faults.mute = True
+            for route in ("lookup", "check"):
+                await self.fleet.call(route, request_id=route)
+                self.assertEqual(len(self.fleet.runs(route)), 1)
+
+        self.run_fleet(scenario)
+
+    def test_a_resumable_stream_goes_on_without_a_gap(self):
+        async def scenario():
+            for item in self.fleet.replicas.values():
+                item.faults.cut_after = 7
+            mending = asyncio.create_task(self._mend_after_cut())
+            answer = await self.fleet.call("check", output=40)
+            await mending
+            self.assert_stream(answer, 40)
+            self.assertEqual(len(self.fleet.runs()), 2)
+
+        self.run_fleet(scenario)
+
+    async def _mend_after_cut(self):
+        while not any(run.ended == "cut" for run in self.fleet.runs()):
+            await asyncio.sleep(0.001)
+        for item in self.fleet.replicas.values():
+            item.faults.cut_after = 0
+
+    def test_a_cut_stream_never_looks_complete(self):
+        async def scenario():
+            for item in self.fleet.replicas.values():
+                item.faults.cut_after = 5
+            answer = await self.fleet.call("review")
+            self.assertFalse(answer.whole)
+            self.assertEqual(len(self.fleet.runs()), 1)
+
+        self.run_fleet(scenario)
+
+    def test_a_caller_that_leaves_ends_the_work(self):
+        async def scenario():
+            task = asyncio.create_task(
+                self.fleet.call("review", output=500, request_id="r")
+            )
+            await asyncio.sleep(0.4)
+            for end in list(self.network.ends):
+                if end.host == fleet.CALLER_HOST:
+                    end.cut("left")
+                    end.peer.cut("left")
+            await task
+            await asyncio.sleep(0.3)
+            (run,) = self.fleet.runs("r")
+            self.assertEqual(run.ended, "left")
+
+        self.run_fleet(scenario)
+
+    def test_a_crashed_engine_is_left_within_a_second(self):
+        async def scenario():
+            await self.fleet.crash_replica("e0")
+            for _ in range(4):
+                answers = await self.together(6, "check")
+                for answer in answers:
+                    self.assert_stream(answer)
+                    self.assertLess(answer.seconds, 1.0)
+
+        self.run_fleet(scenario)
+
+    def test_another_replica_at_an_address_runs_nothing(self):
+        async def scenario():
+            entry = self.fleet.replicas["s0"]
+            await entry.close()
+            self.fleet.replicas.pop("s0")
+            await self.fleet.start_replica(
+                "other", entry.address.partition(":")[0], False
+            )
+            await self.fleet.store.remove(ROUTE_PREFIX + "other")
+            for index in range(6):
+                answer = await self.fleet.call("filing", request_id=f"f{index}")
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(self.fleet.replicas["other"].runs, [])
+            self.assert_at_most_once()
+
+        self.run_fleet(scenario)
+
+
+class EntryTest(platform_case.PlatformCase):
+    """Replicas that leave, lapse, or are forged."""
+
+    def runs_of(self, name):
+        return len(self.fleet.replicas[name].runs)
+
+    def test_a_leaving_replica_gets_nothing_new(self):
+        async def scenario():
+            await self.fleet.replicas["s0"].leave()
+            await asyncio.sleep(0.1)
+            await self.together(9, "filing")
+            self.assertEqual(self.runs_of("s0"), 0)
+
+        self.run_fleet(scenario)
+
+    def test_one_whose_entry_vanishes_gets_nothing_new(self):
+        async def scenario():
+            await self.fleet.replicas["s0"].vanish()
+            await asyncio.sleep(0.1)
+            await self.together(9, "filing")
+            self.assertEqual(self.runs_of("s0"), 0)
+
+        self.run_fleet(scenario)
+
+    def test_an_old_report_does_not_bring_a_leaving_one_back(self):
+        async def scenario():
+            leaving = self.fleet.replicas["s0"]
+            await leaving.leave()
+            leaving.state = "ready"
+            leaving._sequence = 0
+            await leaving.report()
+            await asyncio.sleep(0.1)
+            await self.together(9, "filing")
+            self.assertEqual(self.runs_of("s0"), 0)
+
+        self.run_fleet(scenario)
+
+    def test_entries_that_cannot_be_read_name_no_replica(self):
+        async def scenario():
+            bad = [
+                b"\xff\xfe",
+                b"{}",
+                b"[1]",
+                {"service": "registry", "address": "10.0.2.9:80"},
+                {**_entry(), "state": "happy"},
+                {**_entry(), "born": "now"},
+                {**_entry(), "address": 7},
+            ]
+            for index, value in enumerate(bad):
+                key = f"{ROUTE_PREFIX}bad{index}"
+                await self.fleet.store.write(key, value)
+            await asyncio.sleep(0.1)
+            answers = await self.together(9, "filing")
+            self.assertEqual({a.status for a in answers}, {200})
+            for router in self.fleet.routers.values():
+                names = set(router.fleet.upstreams.known)
+                self.assertEqual(names, {"e0", "e1", "e2", "s0", "s1"})
+
+        self.run_fleet(scenario)
+
+    def test_entries_that_lapse_with_the_store_are_kept_until_it_settles(self):
+        async def scenario():
+            store = self.fleet.store
+            store.mode = type(store.mode).RESET
+            await asyncio.sleep(3.0)
+            for name in ("s0", "s1"):
+                await self.fleet.replicas[name].vanish()
+            store.mode = type(store.mode).SERVING
+            await asyncio.sleep(1.0)
+            answers = await self.together(6, "filing")
+            self.assertEqual({a.status for a in answers}, {200})
+            await self.fleet.replicas["s0"].report()
+            await asyncio.sleep(3.0)
+            before = self.runs_of("s1")
+            answers = await self.together(6, "filing")
+            self.assertEqual({a.status for a in answers}, {200})
+            self.assertEqual(self.runs_of("s1"), before)
+
+        self.run_fleet(scenario)
+
+
+def _entry():
+    return {
+        "service": "registry",
+        "address": "10.0.2.9:80",
+        "zone": "dc-0",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "coldLeftMs": 0,
+        "born": 1,
+        "sequence": 1,
+    }
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/dispatch/test_window_budget.py
@@ -0,0 +1,48 @@
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bergamotmill.routing import window_budget
+
+
+class WindowBudgetTest(unittest.TestCase):
+    def test_repeats_are_a_share_of_requests_and_a_slack(self):
+        budget = window_budget.WindowBudget(0.2, 3.0, 10.0)
+        for _ in range(10):
+            budget.requested(0.0)
+        taken = sum(budget.try_take(1.0) for _ in range(20))
+        self.assertEqual(taken, 5)
+
+    def test_a_window_slides(self):
+        budget = window_budget.WindowBudget(0.0, 2.0, 10.0)
+        self.assertTrue(budget.try_take(0.0))
+        self.assertTrue(budget.try_take(5.0))
+        self.assertFalse(budget.try_take(9.9))
+        self.assertTrue(budget.try_take(10.0))
+        self.assertFalse(budget.try_take(14.9))
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(strategies.floats(0, 0.5), strategies.booleans()),
+            max_size=200,
+        )
+    )
+    def test_no_window_holds_more_than_the_bound(self, steps):
+        budget = window_budget.WindowBudget(0.2, 4.0, 3.0)
+        now = 0.0
+        requests, repeats = [], []
+        for pause, is_request in steps:
+            now += pause
+            if is_request:
+                budget.requested(now)
+                requests.append(now)
+            elif budget.try_take(now):
+                repeats.append(now)
+                low = now - 3.0
+                allowed = 0.2 * sum(at > low for at in requests) + 4.0
+                self.assertLessEqual(sum(at > low for at in repeats), allowed)
+
+
+if __name__ == "__main__":
+    unittest.main()
