An answer that nobody asked for never reaches a caller

Change: bytes between exchanges or after an answer end the connection; a success must bear the request's id. Figures: test_a_second_answer_reaches_no_other_caller fails without it. Ruled out: non-repeatable requests, which have connections of their own.

--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -65,6 +65,7 @@
         self._last_data = 0.0
         self._watch: asyncio.TimerHandle | None = None
         self._sent = False
+        self._in_use = False
         self.idle_since = 0.0
 
     @property
@@ -89,6 +90,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser and wakes the reader."""
+        if not self._in_use:
+            # Whatever it is, it answers nothing that was asked.
+            self._fail(http_errors.ProtocolError("data between exchanges"))
+            return
         self._last_data = self._loop.time()
         try:
             self._h11.receive_data(data)
@@ -209,6 +214,7 @@
             data += self._h11.send(h11.Data(data=body))
         data += self._h11.send(h11.EndOfMessage())
         self._require_open()
+        self._in_use = True
         self._sent = True
         self._transport.write(data)
         self.set_silence_limit(silence_s)
@@ -265,6 +271,10 @@
         self._stop_watch()
         if not self._complete or self._error is not None:
             return False
+        self._in_use = False
+        if self._h11.trailing_data[0]:
+            # A second answer follows the first.
+            return False
         try:
             self._h11.start_next_cycle()
         except h11.LocalProtocolError:
--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -116,6 +116,10 @@
         """Whether the caller's side is full."""
         return self._connection.write_paused
 
+    def write_raw(self, data: bytes) -> None:
+        """Writes bytes outside the protocol; stand-ins need this."""
+        self._connection.send_raw(data)
+
     def finish(self) -> None:
         """Ends the answer."""
         if not self._finished:
@@ -236,6 +240,11 @@
         if data:
             self._transport.write(data)
 
+    def send_raw(self, data: bytes) -> None:
+        """Writes bytes past the parser; nothing after the caller left."""
+        if not self._gone:
+            self._transport.write(data)
+
     def abort(self) -> None:
         """Cuts the connection."""
         if self._transport is not None:
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -204,8 +204,10 @@
     Raises:
         errors.UpstreamError: it answers another request.
     """
-    answered = head.text(const.HEADER_REQUEST_ID, call.request_id)
-    if answered != call.request_id:
+    answered = head.text(const.HEADER_REQUEST_ID)
+    # A late second answer may bear no id; only refusals do without one.
+    refused = head.status in const.NOT_RUN_STATUSES and not answered
+    if answered != call.request_id and not refused:
         raise errors.UpstreamError(
             errors.Failure.CROSSED, f"answer to {answered!r}", sent=True
         )
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -40,6 +40,9 @@
         cut_after: cuts streams after so many events; 0 for never.
         order_delay_s: carries orders out late and leaves them unanswered.
         errors: answers with a failure of its own.
+        extra_after_s: sends a second answer so long after each; with the
+            first one when 0, never when negative.
+        extra_has_id: whether that one bears the first one's id.
     """
 
     lose_answers: bool = False
@@ -47,6 +50,8 @@
     cut_after: int = 0
     order_delay_s: float = 0.0
     errors: bool = False
+    extra_after_s: float = -1.0
+    extra_has_id: bool = True
 
 
 class ReplicaStandIn:
@@ -205,6 +210,22 @@
         status = 500 if self.faults.errors else 200
         body = b"done:" + run.request_id.encode() + exchange.request.body
         exchange.respond(status, body, self._receipt(exchange))
+        if self.faults.extra_after_s >= 0:
+            self._extra(exchange, run)
+
+    def _extra(self, exchange, run: Run) -> None:
+        """Sends a second answer that nobody asked for."""
+        request_id = run.request_id if self.faults.extra_has_id else ""
+        text = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n"
+        if request_id:
+            name = const.HEADER_REQUEST_ID
+            text += f"{name}: {request_id}\r\n".encode()
+        text += f"{const.HEADER_RECEIPT}: x\r\n\r\nextra".encode()
+        if not self.faults.extra_after_s:
+            exchange.write_raw(text)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.faults.extra_after_s, exchange.write_raw, text)
 
     async def _generate(self, exchange, run: Run) -> None:
         tokens, output = self._demand(exchange, run)
--- a/tests/dispatch/test_calls.py
+++ b/tests/dispatch/test_calls.py
@@ -107,6 +107,27 @@
 
         self.run_fleet(scenario)
 
+    def test_a_second_answer_reaches_no_other_caller(self):
+        async def scenario():
+            for after_s in (0.0, 0.001, 0.02, 0.055):
+                for has_id in (True, False):
+                    await self.extra_answers(after_s, has_id)
+
+        self.run_fleet(scenario)
+
+    async def extra_answers(self, after_s, has_id):
+        for item in self.fleet.replicas.values():
+            item.faults.extra_after_s = after_s
+            item.faults.extra_has_id = has_id
+        for _ in range(6):
+            request_id = self.fleet.new_id()
+            answer = await self.fleet.call(
+                "lookup", method="GET", request_id=request_id
+            )
+            if answer.status == 200:
+                wanted = b"done:" + request_id.encode()
+                self.assertEqual(answer.body, wanted)
+
     def test_a_failure_of_the_replicas_own_is_passed_on_as_it_is(self):
         async def scenario():
             for item in self.fleet.replicas.values():
