--- a/bergamotmill/cli/dispatcher.py
+++ b/bergamotmill/cli/dispatcher.py
@@ -23,7 +23,57 @@
 MakeStore = Callable[[router_settings.Settings], key_value.RevisionedStore]
 
 
+# The file may change without a signal; it is looked at so often, in seconds.
+SETTINGS_PERIOD_S = 2.0
+
+
+class SettingsWatch:
+    """Reads the settings file again when it has changed."""
+
+    def __init__(
+        self,
+        path: str,
+        settings: router_settings.Settings,
+        adopt: Callable[[router_settings.Settings], None],
+    ):
+        self._path = path
+        self._settings = settings
+        self._adopt = adopt
+        self._stamp = self._look()
+
+    def _look(self) -> tuple[int, int]:
+        try:
+            found = os.stat(self._path)
+        except OSError as err:
+            decisions.record("settings_missing", detail=repr(err))
+            return (0, 0)
+        return (found.st_mtime_ns, found.st_size)
+
+    async def run(self) -> None:
+        """Looks for ever."""
+        while True:
+            await asyncio.sleep(SETTINGS_PERIOD_S)
+            stamp = self._look()
+            if stamp != self._stamp:
+                self._stamp = stamp
+                self.reload()
+
+    def reload(self) -> None:
+        """Reads the file; bad settings are reported and not taken."""
+        loaded = router_settings.load(self._path)
+        if loaded.is_err():
+            decisions.record(
+                "settings_refused",
+                findings=[str(item) for item in loaded.err()],
+            )
+            return
+        if loaded.ok() != self._settings:
+            self._settings = loaded.ok()
+            self._adopt(loaded.ok())
+
+
 async def _serve(
+    path: str,
     settings: router_settings.Settings,
     make_dialect: MakeDialect,
     make_store: MakeStore,
@@ -40,11 +90,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: decisions.record("reload_asked")
-    )
+    watch = SettingsWatch(path, settings, router.reload)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload)
     await router.start()
+    watching = asyncio.create_task(watch.run())
     await stop.wait()
+    watching.cancel()
     await router.shut_down()
     await router.close()
     return EXIT_OK
@@ -70,4 +121,4 @@
     logs.configure_decisions(settings.log.level, settings.router.name)
     gc.freeze()
     with asyncio.Runner(loop_factory=_loop_factory()) as runner:
-        return runner.run(_serve(settings, make_dialect, make_store))
+        return runner.run(_serve(path, settings, make_dialect, make_store))
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -27,6 +27,7 @@
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import http_server
 from bergamotmill.helpers import metrics as stats
+from bergamotmill.helpers import metrics_page
 from bergamotmill.proto import peer_pb2
 from bergamotmill.routing import window_budget
 from bergamotmill.storage import key_value
@@ -65,6 +66,7 @@
 
     decoder: fleet_state.Decoder
     link: Link
+    move_store: Callable[[key_value.RevisionedStore, str], None]
     router_key: Callable[[str], str]
     router_value: Callable[[fleet_state.RouterEntry], bytes]
     holder_key: str
@@ -192,6 +194,7 @@
         own = self._settings.router
         dialect = self._dialect
         book = directory.Directory(self.membership.alive, self._rng)
+        page = metrics_page.MetricsPage(self.metrics, self._gauges)
         front = dialect.front(
             self.fleet, self.dispatcher, self._clock.monotonic
         )
@@ -200,6 +203,7 @@
             self._front,
             http_server.HttpServer(own.ready, dialect.ready(self.is_ready)),
             http_server.HttpServer(own.directory, dialect.directory(book)),
+            http_server.HttpServer(own.metrics, page.handle),
         ]
         handlers = {
             "Ping": self.membership.on_ping,
@@ -211,6 +215,24 @@
             own.peer, self._settings.fleet_key, handlers
         )
 
+    def _gauges(self) -> dict[str, float]:
+        """Returns ages of beliefs, and what is left of budgets."""
+        now = self._clock.monotonic()
+        found = {
+            "configuration_version": float(self.fleet.catalog.version),
+            "documents_age_seconds": self.feed.age_s(),
+            "store_answers": float(self.feed.store_ok),
+            "routers_alive": float(len(self.membership.alive())),
+            "upstreams_known": float(len(self.fleet.upstreams.known)),
+            "requests_waiting": float(self.dispatcher.held),
+            "holds_lease": float(self.rollout.holding),
+            "child_restarts": float(self._supervisor.restarts),
+        }
+        if self._budgets:
+            lefts = [item.left(now) for item in self._budgets.values()]
+            found["retry_budget_left"] = min(lefts)
+        return found
+
     def is_ready(self) -> bool:
         """Whether new callers are to be sent here."""
         return self.fleet.catalog.version > 0 and not self._leaving
@@ -381,6 +403,22 @@
         )
         self._share_budgets()
 
+    def reload(self, settings: router_settings.Settings) -> None:
+        """Takes changed settings; addresses this process has stay."""
+        old = self._settings
+        self._settings = dataclasses.replace(settings, router=old.router)
+        if settings.store != old.store:
+            self._dialect.move_store(self._store, settings.store.address)
+        for budget in self._budgets.values():
+            budget.set_ratio(settings.retries.ratio * BUDGET_PART)
+        self._share_budgets()
+        decisions.record(
+            "reloaded",
+            store=settings.store.address,
+            seeds=list(settings.seeds),
+            kept_addresses=settings.router != old.router,
+        )
+
     async def shut_down(self) -> None:
         """Leaves gracefully within the grace period.
 
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -90,6 +90,11 @@
         self._tasks = background.Tasks()
         self._room = waiting.WaitingRoom(rng)
 
+    @property
+    def held(self) -> int:
+        """How many requests wait here for an engine."""
+        return len(self._room)
+
     async def close(self) -> None:
         """Cuts what is under way."""
         self._room.close()
--- a/bergamotmill/helpers/logs.py
+++ b/bergamotmill/helpers/logs.py
@@ -70,7 +70,7 @@
         self._send(line)
 
     def _report(self) -> None:
-        if not self._omitted:
+        if not self._omitted or len(self._rest) > MAX_REST_BYTES:
             return
         line = json.dumps({"event": "lines_omitted", "count": self._omitted})
         self._omitted = 0
--- a/bergamotmill/helpers/metrics.py
+++ b/bergamotmill/helpers/metrics.py
@@ -1,15 +1,51 @@
 """Metrics: counted in memory, sent to statsd once a second."""
 
 import asyncio
+import bisect
 from collections.abc import Mapping
 
 import statsd
 
+# Upper bounds of the latency histograms, in seconds.
+BOUNDS_S = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    0.8,
+    1.2,
+    2.0,
+    3.0,
+    5.0,
+    10.0,
+    20.0,
+)
+MAX_HISTOGRAMS = 500
 FLUSH_S = 1.0
 PREFIX = "bergamotmill"
 MAX_TIMINGS = 200
 
 
+class Histogram:
+    """Counts durations by upper bound; the last bucket has none."""
+
+    __slots__ = ("buckets", "total_s")
+
+    def __init__(self):
+        self.buckets = [0] * (len(BOUNDS_S) + 1)
+        self.total_s = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Counts a duration."""
+        self.buckets[bisect.bisect_left(BOUNDS_S, seconds)] += 1
+        self.total_s += seconds
+
+
 class Metrics:
     """Counters, gauges and timings; cheap to update on a hot path."""
 
@@ -18,6 +54,7 @@
         self._counts: dict[str, int] = {}
         self._sent: dict[str, int] = {}
         self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, Histogram] = {}
         self._timings: list[tuple[str, float]] = []
         self._client: statsd.StatsClient | None = None
         self._task: asyncio.Task[None] | None = None
@@ -32,6 +69,11 @@
         """The latest gauges."""
         return self._gauges
 
+    @property
+    def histograms(self) -> Mapping[str, Histogram]:
+        """Latency histograms by name."""
+        return self._histograms
+
     def count(self, name: str, by: int = 1) -> None:
         """Adds to a counter."""
         self._counts[name] = self._counts.get(name, 0) + by
@@ -42,6 +84,11 @@
 
     def timing(self, name: str, seconds: float) -> None:
         """Records a duration; a flood between two flushes is thinned."""
+        found = self._histograms.get(name)
+        if found is None and len(self._histograms) < MAX_HISTOGRAMS:
+            found = self._histograms[name] = Histogram()
+        if found is not None:
+            found.add(seconds)
         if self._client is not None and len(self._timings) < MAX_TIMINGS:
             self._timings.append((name, seconds))
 
--- a/bergamotmill/platform/dialect.py
+++ b/bergamotmill/platform/dialect.py
@@ -15,6 +15,7 @@
     return daemon.Dialect(
         decoder=documents.Decoder(),
         link=replica.ReplicaLink(settings.router.name),
+        move_store=lambda client, address: client.move(address),
         router_key=lambda name: const.PREFIX_ROUTERS + name,
         router_value=documents.router_value,
         holder_key=const.KEY_HOLDER,
--- a/bergamotmill/routing/window_budget.py
+++ b/bergamotmill/routing/window_budget.py
@@ -17,6 +17,10 @@
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
 
+    def set_ratio(self, ratio: float) -> None:
+        """Takes a changed ratio."""
+        self._ratio = ratio
+
     def set_slack(self, slack: float) -> None:
         """Takes this process's part of the slack."""
         self._slack = slack
