Few routers of each data centre read the store and tell the others

Change: readers.py (two of each data centre, in an order all compute alike), publications with the revision before them, so that a lost one is found and pulled; notices within the data centre, each standing for several routers; longer leases of entries in large fleets. Ruled out: a push of every change to every router.

--- a/bergamotmill/control/peers.py
+++ b/bergamotmill/control/peers.py
@@ -24,6 +24,7 @@
     "Status",
     "Documents",
     "Weights",
+    "Publish",
 )
 METADATA_KEY = "x-fleet-key"
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -80,12 +80,24 @@
 # What was sent so lately, peers may have sent alike without our knowledge.
 HERD_WINDOW_S = 0.03
 NOTICE_TIMEOUT_S = 0.3
-NOTICE_RECEIVERS = 12
+# Up to so many routers all tell all; beyond, those of a data centre do, and
+# no more than so many.
+NOTICE_ALL_UP_TO = 16
+NOTICE_RECEIVERS = 24
 
 # Leases: the term, and how often it is renewed (three tries in a term).
 ROSTER_LEASE_S = 4.0
 ROSTER_RENEW_S = 1.3
+# In a larger fleet probes tell of the dead; entries only name who is there.
+ROSTER_LARGE = 16
+ROSTER_LARGE_LEASE_S = 12.0
+ROSTER_LARGE_RENEW_S = 4.0
 WATCH_WAIT_S = 15.0
+# A reader tells the routers beside it so often that it is there; without a
+# word for so long they doubt what they know. Who reads is looked at as often.
+READER_PERIOD_S = 0.8
+READER_SILENT_S = 2.6
+READER_CHECK_S = 0.3
 # A watch that fails may have been deaf for so long before.
 BLIND_S = 2.0
 FEED_PAUSE_FIRST_S = 0.05
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -1,7 +1,7 @@
 """One dispatching router: builds the tree of its parts and runs it."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 import dataclasses
 import random
 from typing import Protocol
@@ -21,6 +21,7 @@
 from bergamotmill.dispatch import notices
 from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import ports
+from bergamotmill.dispatch import readers as feed_readers
 from bergamotmill.dispatch import rollout
 from bergamotmill.dispatch import roster
 from bergamotmill.dispatch import settings as router_settings
@@ -113,7 +114,15 @@
         own = self._settings.router
         now = self._clock.monotonic
         self.feed = documents.DocumentFeed(
-            self._store, "", self._peers, now, self._rng
+            self._store,
+            "",
+            self._peers,
+            feed_readers.DataCentreReaders(
+                own.name, own.data_centre, lambda name: self._alive(name)
+            ),
+            own.name,
+            now,
+            self._rng,
         )
         self.fleet = fleet_state.Fleet(self.feed, self._dialect.decoder, now)
         self.membership = fleet_membership.Membership(
@@ -140,6 +149,7 @@
             self._dialect.router_key(own.name),
             self._dialect.router_value(self._entry),
             lambda: self.fleet.routers.get(own.name) == self._entry,
+            lambda: len(self.membership.alive()) > const.ROSTER_LARGE,
             self._rng,
         )
         holder = fencing_holder.Holder(
@@ -171,6 +181,7 @@
             self.fleet.upstreams,
             self._peers,
             self._other_routers,
+            self._told_part,
             self._clock.monotonic,
             self._rng,
         )
@@ -209,6 +220,7 @@
             "Ping": self.membership.on_ping,
             "Documents": self.feed.on_documents,
             "Notify": self.notices.on_notify,
+            "Publish": self.feed.on_publish,
             "Weights": self._on_weights_notice,
         }
         self._peer_server = make_peer_server(
@@ -241,14 +253,26 @@
         """Returns seconds until this process ends; infinite while it stays."""
         return self._ends_at - self._clock.monotonic()
 
+    def _alive(self, data_centre: str) -> Sequence[fleet_members.Member]:
+        return self.membership.alive(data_centre)
+
     def _other_routers(self) -> list[str]:
         """Returns peers that are told of attempts, a bounded number."""
-        own = self._settings.router.name
-        names = [m.name for m in self.membership.alive() if m.name != own]
+        own = self._settings.router
+        members = self.membership.alive()
+        if len(members) > const.NOTICE_ALL_UP_TO:
+            members = self.membership.alive(own.data_centre)
+        names = [m.name for m in members if m.name != own.name]
         if len(names) > const.NOTICE_RECEIVERS:
             names = self._rng.sample(names, const.NOTICE_RECEIVERS)
         return names
 
+    def _told_part(self) -> float:
+        """Returns how many routers stand behind each notice."""
+        others = len(self.membership.alive()) - 1
+        told = len(self._other_routers())
+        return max(1.0, others / told) if told else 1.0
+
     async def _announce(self, notice: rollout.EngineNotice) -> None:
         """Tells all peers of an engine; one that misses it finds out."""
         request = peer_pb2.WeightsNotice(
@@ -343,6 +367,7 @@
         children = {
             "documents": self.feed.run,
             "pulls": self.feed.run_pulls,
+            "heartbeats": self.feed.run_heartbeats,
             "membership": self._run_membership,
             "roster": self._run_roster,
             "lease": self.rollout.run_lease,
@@ -448,6 +473,7 @@
         await self._supervisor.close()
         await self.dispatcher.close()
         await self.notices.close()
+        await self.feed.close()
         await self._tasks.close()
         self.fleet.close()
         for server in reversed(self._servers):
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -1,14 +1,17 @@
 """Follows the platform's store, and peers while the store is away.
 
-One waiting call a process covers all keys. Each key is adopted forward only,
-by its revision. A process that the store turns away asks a peer that is
-ahead of it; a process that has just started asks both.
+One waiting call covers all keys. A few processes of each data centre make it,
+the readers, and tell the others beside them what changed, so that calls on
+the store do not grow with the fleet. Each key is adopted forward only, by its
+revision. A process that misses something, or that the store turns away, asks
+a peer that is ahead of it; one that has just started asks both.
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 import dataclasses
 import random
+from typing import Protocol
 
 import result
 
@@ -18,6 +21,7 @@
 from bergamotmill.proto import peer_pb2
 from bergamotmill.storage import key_value
 from bergamotmill.util import backoff
+from bergamotmill.util import tasks as background
 
 SOURCE_STORE = "store"
 
@@ -34,6 +38,16 @@
 Listener = Callable[[Document, str], None]
 
 
+class Readers(Protocol):
+    """Who reads the store, and whom readers tell."""
+
+    def is_reader(self) -> bool:
+        """Whether this process follows the store itself."""
+
+    def told(self) -> Sequence[str]:
+        """Returns the names of those that this reader tells."""
+
+
 class DocumentFeed:
     """Owns the latest known state of all keys."""
 
@@ -42,9 +56,15 @@
         store: key_value.RevisionedStore,
         prefix: str,
         peers: peer_links.PeerLinks,
+        readers: Readers,
+        own_name: str,
         now: Callable[[], float],
         rng: random.Random,
     ):
+        self._readers = readers
+        self._own_name = own_name
+        self._tasks = background.Tasks()
+        self._heard_at = float("-inf")
         self._store = store
         self._prefix = prefix
         self._peers = peers
@@ -96,15 +116,69 @@
         return self._documents.get(key)
 
     async def run(self) -> None:
-        """Follows the store for ever."""
+        """Follows the store for ever, while this process is a reader."""
         while True:
+            if self._position and not self._readers.is_reader():
+                self._listen_to_readers()
+                await asyncio.sleep(const.READER_CHECK_S)
+                continue
+            before = self._revision
             if self._position == 0:
                 done = await self._read_all()
             else:
                 done = await self._follow()
-            if not done:
+            if done:
+                self._publish(before)
+            else:
                 await asyncio.sleep(self._pause.next())
 
+    def _listen_to_readers(self) -> None:
+        """Doubts what is known when no reader was heard for long."""
+        if self._now() - self._heard_at > const.READER_SILENT_S:
+            self._store_failed("no reader was heard")
+
+    async def run_heartbeats(self) -> None:
+        """Tells those beside a reader that it is there, for ever."""
+        while True:
+            await asyncio.sleep(const.READER_PERIOD_S)
+            if self._readers.is_reader():
+                self._publish(self._revision)
+
+    def _publish(self, before: int) -> None:
+        """Tells the routers beside this one what came after a revision."""
+        names = self._readers.told()
+        if not names:
+            return
+        message = peer_pb2.Publication(
+            sender=self._own_name,
+            documents=self._since(before),
+            after_revision=before,
+            revision=self._revision,
+            store_answers=self._store_ok,
+        )
+        for name in names:
+            self._tasks.spawn(
+                self._peers.call(name, "Publish", message, const.PULL_TIMEOUT_S)
+            )
+
+    async def on_publish(
+        self, message: peer_pb2.Publication
+    ) -> peer_pb2.PublicationReply:
+        """Takes what a reader beside this router saw."""
+        self._adopt_all(message.sender, message.documents)
+        if self._revision >= message.after_revision:
+            self._revision = max(self._revision, message.revision)
+        else:
+            self.peer_at(message.sender, message.revision)
+        if message.store_answers and not self._readers.is_reader():
+            self._heard_at = self._now()
+            self._store_answered()
+        return peer_pb2.PublicationReply()
+
+    async def close(self) -> None:
+        """Stops what is under way."""
+        await self._tasks.close()
+
     async def _read_all(self) -> bool:
         found = await self._store.snapshot(self._prefix)
         if found.is_err():
@@ -184,7 +258,6 @@
         if known is not None and document.revision <= known.revision:
             return
         self._documents[document.key] = document
-        self._revision = max(self._revision, document.revision)
         for listener in self._listeners:
             listener(document, source)
 
@@ -236,26 +309,36 @@
             self._take(address, answer.ok())
 
     def _take(self, name: str, reply: peer_pb2.DocumentsReply) -> None:
-        for item in reply.documents:
-            value = None if item.deleted else item.value
-            self._adopt(Document(item.key, item.revision, value), name)
+        self._adopt_all(name, reply.documents)
         if reply.revision >= self._revision:
             self._confirmed_at = self._now()
         self._revision = max(self._revision, reply.revision)
 
+    def _adopt_all(
+        self, source: str, items: Iterable[peer_pb2.Document]
+    ) -> None:
+        for item in items:
+            value = None if item.deleted else item.value
+            self._adopt(Document(item.key, item.revision, value), source)
+
     async def on_documents(
         self, request: peer_pb2.DocumentsRequest
     ) -> peer_pb2.DocumentsReply:
         """Tells a peer what changed after its revision."""
-        reply = peer_pb2.DocumentsReply(revision=self._revision)
-        for document in self._documents.values():
-            if document.revision > request.after_revision:
-                reply.documents.append(
-                    peer_pb2.Document(
-                        key=document.key,
-                        revision=document.revision,
-                        value=document.value or b"",
-                        deleted=document.value is None,
-                    )
-                )
-        return reply
+        return peer_pb2.DocumentsReply(
+            documents=self._since(request.after_revision),
+            revision=self._revision,
+        )
+
+    def _since(self, revision: int) -> list[peer_pb2.Document]:
+        """Returns what changed after a revision."""
+        return [
+            peer_pb2.Document(
+                key=document.key,
+                revision=document.revision,
+                value=document.value or b"",
+                deleted=document.value is None,
+            )
+            for document in self._documents.values()
+            if document.revision > revision
+        ]
--- a/bergamotmill/dispatch/notices.py
+++ b/bergamotmill/dispatch/notices.py
@@ -26,12 +26,14 @@
         known: upstreams.Upstreams,
         peers: peer_links.PeerLinks,
         receivers: Callable[[], Sequence[str]],
+        behind_each: Callable[[], float],
         now: Callable[[], float],
         rng: random.Random,
     ):
         self._known = known
         self._peers = peers
         self._receivers = receivers
+        self._behind_each = behind_each
         self._now = now
         self._rng = rng
         self._waiting: list[peer_pb2.Notice] = []
@@ -79,11 +81,13 @@
     ) -> peer_pb2.NotifyReply:
         """Takes what a peer has sent."""
         now = self._now()
+        # In a large fleet only some are heard: each stands for several.
+        behind_each = self._behind_each()
         for notice in request.notices:
             item = self._known.known.get(notice.replica)
             if item is None or item.entry.born != notice.incarnation:
                 continue
-            item.add_work(notice.work_ms / MS, now)
+            item.add_work(behind_each * notice.work_ms / MS, now)
             for digest in notice.digests:
                 self._known.locations.learn("", digest, notice.replica, now)
         return peer_pb2.NotifyReply()
--- /dev/null
+++ b/bergamotmill/dispatch/readers.py
@@ -0,0 +1,45 @@
+"""Which routers read the platform's store, and whom they tell.
+
+The first few of each data centre, in an order that every router computes
+alike from who is alive. An extra reader does no harm.
+"""
+
+from collections.abc import Callable, Sequence
+
+from bergamotmill.control import const as control_const
+from bergamotmill.control import members as fleet_members
+from bergamotmill.util import rendezvous
+
+ORDER_KEY = "readers"
+
+
+class DataCentreReaders:
+    """The readers of one data centre."""
+
+    def __init__(
+        self,
+        own_name: str,
+        data_centre: str,
+        alive: Callable[[str], Sequence[fleet_members.Member]],
+    ):
+        self._own_name = own_name
+        self._data_centre = data_centre
+        self._alive = alive
+
+    def _names(self) -> set[str]:
+        near = {member.name for member in self._alive(self._data_centre)}
+        return near | {self._own_name}
+
+    def _readers(self) -> list[str]:
+        return rendezvous.top(
+            ORDER_KEY, self._names(), control_const.READERS_PER_DATA_CENTRE
+        )
+
+    def is_reader(self) -> bool:
+        """Whether this process follows the store itself."""
+        return self._own_name in self._readers()
+
+    def told(self) -> Sequence[str]:
+        """Returns the names of those that this reader tells."""
+        readers = set(self._readers())
+        return sorted(self._names() - readers)
--- a/bergamotmill/dispatch/roster.py
+++ b/bergamotmill/dispatch/roster.py
@@ -18,12 +18,14 @@
         key: str,
         value: bytes,
         is_listed: Callable[[], bool],
+        is_large: Callable[[], bool],
         rng: random.Random,
     ):
         self._store = store
         self._key = key
         self._value = value
         self._is_listed = is_listed
+        self._is_large = is_large
         self._rng = rng
         self._lease = 0
         self._written = False
@@ -34,8 +36,10 @@
         while True:
             if not self._left:
                 await self.step()
-            pause = const.ROSTER_RENEW_S * self._rng.uniform(0.9, 1.1)
-            await asyncio.sleep(pause)
+            pause = const.ROSTER_RENEW_S
+            if self._is_large():
+                pause = const.ROSTER_LARGE_RENEW_S
+            await asyncio.sleep(pause * self._rng.uniform(0.9, 1.1))
 
     async def step(self) -> None:
         """Renews the lease, or takes a new one and writes the entry."""
@@ -48,7 +52,10 @@
                 self._lease = 0
                 self._written = False
         if not self._lease:
-            granted = await self._store.grant(const.ROSTER_LEASE_S)
+            term = const.ROSTER_LEASE_S
+            if self._is_large():
+                term = const.ROSTER_LARGE_LEASE_S
+            granted = await self._store.grant(term)
             if granted.is_err():
                 return
             self._lease = granted.ok()
