--- a/bergamotmill/cli/main.py
+++ b/bergamotmill/cli/main.py
@@ -12,6 +12,7 @@
 from bergamotmill import core
 from bergamotmill.cli import client
 from bergamotmill.cli import show
+from bergamotmill.cli import story
 from bergamotmill.helpers import json_file
 from bergamotmill.settings import config
 from bergamotmill.settings import drivers
@@ -38,6 +39,7 @@
   bergamotmill release publish note.json
   bergamotmill status
   bergamotmill explain 3f2a...
+  bergamotmill explain 9c41d07be2a35f68 router-*.log
 """
 
 
@@ -82,7 +84,12 @@
     audit.add_argument("--count", type=int, default=20)
     _add_common(audit)
     explain = commands.add_parser("explain", help="why a replica was chosen")
-    explain.add_argument("request", help="the answer's x-request-id")
+    explain.add_argument("request", help="the answer's request id")
+    explain.add_argument(
+        "logs",
+        nargs="*",
+        help="logs of routers; without any, a router is asked",
+    )
     _add_common(explain)
     return parser
 
@@ -217,6 +224,8 @@
         return _shown(arguments, "/status", show.status)
     if arguments.command == "audit":
         return _shown(arguments, f"/audit?count={arguments.count}", show.audit)
+    if arguments.logs:
+        return story.tell(arguments.request, arguments.logs, arguments.json)
     request = urllib.parse.quote(arguments.request)
     return _shown(arguments, f"/explain?request={request}", show.explanation)
 
--- /dev/null
+++ b/bergamotmill/cli/story.py
@@ -0,0 +1,166 @@
+"""Tells one request's story from the logs of several routers."""
+
+from collections.abc import Iterable, Iterator
+import dataclasses
+import json
+import sys
+from typing import Any
+
+import result
+
+# What changed a belief about an upstream is told with a request that used it
+# when it lies within so many seconds of the request.
+CONTEXT_S = 3.0
+PROGRESS_LINES = 200_000
+
+FIELD_EVENT = "event"
+FIELD_REQUEST = "request"
+FIELD_ROUTER = "router"
+FIELD_TIME = "t"
+FIELD_UPSTREAM = "upstream"
+_SHOWN_FIRST = (FIELD_TIME, FIELD_ROUTER, FIELD_EVENT, FIELD_REQUEST)
+
+
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """One structured line and where it stands."""
+
+    place: str
+    fields: dict[str, Any]
+
+    @property
+    def time(self) -> float:
+        """When it was written, Unix seconds."""
+        return float(self.fields[FIELD_TIME])
+
+    def text(self) -> str:
+        """Returns the line for a reader."""
+        fields = self.fields
+        rest = " ".join(
+            f"{name}={json.dumps(value)}"
+            for name, value in fields.items()
+            if name not in _SHOWN_FIRST
+        )
+        router = fields.get(FIELD_ROUTER, "?")
+        return f"{self.time:.3f} {router} {fields[FIELD_EVENT]} {rest}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Story:
+    """What the logs say of one request.
+
+    Attributes:
+        lines: its own lines in order of time.
+        context: lines on the upstreams that it used, around that time.
+        unread: places of lines that could not be read.
+    """
+
+    lines: tuple[Line, ...]
+    context: tuple[Line, ...]
+    unread: tuple[str, ...]
+
+
+def parse(place: str, text: str) -> result.Result[Line, str]:
+    """Reads a line; what stands before its object is left out."""
+    start = text.find("{")
+    try:
+        fields = json.loads(text[start:]) if start >= 0 else None
+        float(fields[FIELD_TIME])
+        str(fields[FIELD_EVENT])
+    except (ValueError, TypeError, KeyError):
+        return result.Err(place)
+    return result.Ok(Line(place, fields))
+
+
+def _lines_of(path: str) -> Iterator[tuple[str, str]]:
+    with open(path, encoding="utf-8", errors="replace") as file:
+        for number, text in enumerate(file, 1):
+            if number % PROGRESS_LINES == 0:
+                print(f"{path}: {number} lines read", file=sys.stderr)
+            if text.strip():
+                yield f"{path}:{number}", text
+
+
+def collect(request: str, paths: Iterable[str]) -> Story:
+    """Reads logs and picks what concerns a request.
+
+    Raises:
+        OSError: a file cannot be read.
+    """
+    own: list[Line] = []
+    beliefs: list[Line] = []
+    unread: list[str] = []
+    for path in paths:
+        for place, text in _lines_of(path):
+            found = parse(place, text)
+            if found.is_err():
+                unread.append(found.err())
+                continue
+            line = found.ok()
+            if line.fields.get(FIELD_REQUEST) == request:
+                own.append(line)
+            elif FIELD_REQUEST not in line.fields:
+                beliefs.append(line)
+    own.sort(key=_by_time)
+    return Story(tuple(own), _context(own, beliefs), tuple(unread))
+
+
+def _by_time(line: Line) -> float:
+    return line.time
+
+
+def _context(own: list[Line], beliefs: list[Line]) -> tuple[Line, ...]:
+    if not own:
+        return ()
+    first, last = own[0].time - CONTEXT_S, own[-1].time + CONTEXT_S
+    names = {line.fields.get(FIELD_UPSTREAM) for line in own} - {None, ""}
+    routers = {line.fields.get(FIELD_ROUTER) for line in own}
+    found = [
+        line
+        for line in beliefs
+        if first <= line.time <= last
+        and line.fields.get(FIELD_ROUTER) in routers
+        and line.fields.get(FIELD_UPSTREAM, "") in names | {""}
+    ]
+    return tuple(sorted(found, key=_by_time))
+
+
+def tell(request: str, paths: Iterable[str], as_json: bool) -> int:
+    """Prints a request's story; returns the exit status.
+
+    0: it was found; 1: no line names it; 2: a file cannot be read.
+    """
+    try:
+        story = collect(request, paths)
+    except OSError as err:
+        print(f"{err.filename}: {err.strerror}", file=sys.stderr)
+        return 2
+    if as_json:
+        print(json.dumps(_as_json(story)))
+    else:
+        _print(story)
+    if story.unread:
+        shown = ", ".join(story.unread[:5])
+        count = len(story.unread)
+        print(f"{count} lines could not be read: {shown}", file=sys.stderr)
+    return 0 if story.lines else 1
+
+
+def _as_json(story: Story) -> dict[str, Any]:
+    return {
+        "lines": [line.fields for line in story.lines],
+        "context": [line.fields for line in story.context],
+        "unread": list(story.unread),
+    }
+
+
+def _print(story: Story) -> None:
+    if not story.lines:
+        print("no line names this request")
+        return
+    print("the request:")
+    for line in story.lines:
+        print("  " + line.text())
+    print("what changed around it:")
+    for line in story.context:
+        print("  " + line.text())
--- /dev/null
+++ b/tests/cli/test_story.py
@@ -0,0 +1,80 @@
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from bergamotmill.cli import main
+from bergamotmill.cli import story
+
+LINES = [
+    {"t": 10.2, "router": "vm-2", "event": "outcome", "request": "a1",
+     "status": 502, "upstream": "e1"},
+    {"t": 10.0, "router": "vm-2", "event": "choice", "request": "a1",
+     "upstream": "e1"},
+    {"t": 10.1, "router": "vm-2", "event": "upstream_ejected",
+     "upstream": "e1"},
+    {"t": 10.1, "router": "vm-2", "event": "upstream_ejected",
+     "upstream": "e7"},
+    {"t": 10.1, "router": "vm-9", "event": "store_lost"},
+    {"t": 99.0, "router": "vm-2", "event": "store_lost"},
+    {"t": 10.0, "router": "vm-2", "event": "choice", "request": "b2",
+     "upstream": "e1"},
+]  # fmt: skip
+
+
+class StoryTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "router.log"
+        text = "\n".join(json.dumps(line) for line in LINES)
+        self.path.write_text(text + '\nnot a line\n{"t": 10.0, "eve')
+
+    def collect(self, request):
+        return story.collect(request, [str(self.path)])
+
+    def test_a_requests_lines_come_in_order_of_time(self):
+        found = [line.fields["event"] for line in self.collect("a1").lines]
+        self.assertEqual(found, ["choice", "outcome"])
+
+    def test_context_is_of_its_router_its_upstreams_and_its_time(self):
+        found = [line.fields for line in self.collect("a1").context]
+        self.assertEqual(found, [LINES[2]])
+
+    def test_bad_and_truncated_lines_are_counted_and_named(self):
+        unread = self.collect("a1").unread
+        self.assertEqual(len(unread), 2)
+        self.assertTrue(unread[0].endswith("router.log:8"))
+
+    def test_what_a_collector_put_before_a_line_is_left_out(self):
+        text = "   1.5 vm-1 " + json.dumps(LINES[0])
+        self.assertTrue(story.parse("x:1", text).is_ok())
+
+    def run_main(self, *words):
+        out, err = io.StringIO(), io.StringIO()
+        with (
+            contextlib.redirect_stdout(out),
+            contextlib.redirect_stderr(err),
+        ):
+            status = main.main(["explain", *words])
+        return status, out.getvalue(), err.getvalue()
+
+    def test_the_command_tells_it(self):
+        status, out, err = self.run_main("a1", str(self.path))
+        self.assertEqual(status, 0)
+        self.assertIn("vm-2 outcome", out)
+        self.assertIn("2 lines could not be read", err)
+
+    def test_an_unknown_request_and_a_missing_file(self):
+        status, out, _ = self.run_main("zz", str(self.path))
+        self.assertEqual(status, 1)
+        self.assertIn("no line names this request", out)
+        status, _, err = self.run_main("a1", str(self.path) + ".gone")
+        self.assertEqual(status, 2)
+        self.assertIn("router.log.gone", err)
+
+
+if __name__ == "__main__":
+    unittest.main()
