Parts are moved only from engines that have read them

Change: Upstreams.learn notes when a part will have been read; until then it is no source, and another engine is charged for reading it again.

--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -224,7 +224,7 @@
             progress, {u.weights.get(model, 0) for u in ready}
         )
         return self._placement.engine(
-            demand, ready, model, known.locations, progress.tried, now
+            demand, ready, model, known, progress.tried, now
         )
 
     def _demand_of(
@@ -389,9 +389,8 @@
         prefix = placement.prefix_of(call.generation, scope)
         best = choice.best
         entry = best.upstream.entry
-        now = self._now()
         for digest in prefix.digests:
-            self._fleet.upstreams.locations.learn("", digest, entry.name, now)
+            self._fleet.upstreams.learn(digest, entry.name, best.first_byte_s)
         self._notices.sent(entry, prefix.digests, best.work_s)
 
     async def _send(
--- a/bergamotmill/dispatch/notices.py
+++ b/bergamotmill/dispatch/notices.py
@@ -16,6 +16,8 @@
 
 MAX_WAITING = 256
 MS = 1000
+# Reading ends so much later than the work is estimated.
+MARGIN_S = 0.05
 
 
 class Notices:
@@ -89,7 +91,9 @@
                 continue
             item.add_work(behind_each * notice.work_ms / MS, now)
             for digest in notice.digests:
-                self._known.locations.learn("", digest, notice.replica, now)
+                self._known.learn(
+                    digest, notice.replica, item.backlog_s(now) + MARGIN_S
+                )
         return peer_pb2.NotifyReply()
 
     async def close(self) -> None:
--- a/bergamotmill/dispatch/placement.py
+++ b/bergamotmill/dispatch/placement.py
@@ -20,7 +20,6 @@
 from bergamotmill.dispatch import const
 from bergamotmill.dispatch import messages
 from bergamotmill.dispatch import upstreams
-from bergamotmill.routing import locations as prefix_locations
 from bergamotmill.util import rendezvous
 
 
@@ -46,7 +45,9 @@
     @property
     def name(self) -> str:
         """The shared beginning's name in logs."""
-        return f"{self.digests[self.shared - 1]:016x}" if self.shared else ""
+        if not self.shared:
+            return ""
+        return f"{self.digests[self.shared - 1]:016x}:{self.shared_tokens}"
 
     @property
     def home_level(self) -> int:
@@ -93,7 +94,7 @@
         wait_s: until work on the request begins.
         read_s: until its prompt has been moved or read.
         source: the address from which to move parts; empty for none.
-        prefix: names the shared beginning in logs.
+        prefix: names the shared beginning in logs, with its tokens.
         late, read, far, old, failing: the terms, in units of worth.
     """
 
@@ -175,6 +176,21 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Source:
+    """Where an upstream may get parts that it lacks.
+
+    Attributes:
+        name: the upstream to ask; empty for none.
+        tokens: how much of the prompt will be there after asking, for sure.
+        reading: whether another upstream is reading more at this moment.
+    """
+
+    name: str
+    tokens: int
+    reading: bool = False
+
+
 class Holders:
     """Who holds how much of one prompt, as far as is known or agreed."""
 
@@ -182,17 +198,16 @@
         self,
         prefix: Prefix,
         names: Collection[str],
-        known: prefix_locations.Locations,
-        now: float,
+        known: upstreams.Upstreams,
     ):
         self._prefix = prefix
         self._held: dict[str, int] = {}
+        self._read: dict[str, int] = {}
         for name in names:
-            held = _held_tokens(prefix, name, known, now)
+            held, read = _tokens_at(prefix, name, known)
             if held:
                 self._held[name] = held
-        self.most = max(self._held.values(), default=0)
-        self.known = self.most >= prefix.shared_tokens
+                self._read[name] = read
         self.home = ""
         self.first_home = ""
         if prefix.shared:
@@ -200,41 +215,44 @@
             self.first_home = home_of(prefix.digests[0], names)
 
     def tokens(self, name: str) -> int:
-        """Returns how many tokens an upstream surely holds."""
+        """Returns how many tokens an upstream holds or will have read."""
         return self._held.get(name, 0)
 
-    def source_for(self, name: str) -> tuple[str, int]:
-        """Returns who holds most beyond an upstream, and how much that is.
+    def source_for(self, name: str) -> Source:
+        """Returns from whom an upstream is to get more of the prompt.
 
         An upstream that is only presumed to hold a part counts as holding
         nothing for sure: asking it costs next to nothing.
         """
         own = self.tokens(name)
-        best = max(
-            (other for other in self._held if other != name),
-            key=self._held.__getitem__,
-            default="",
-        )
-        if best and self._held[best] > own:
-            return best, self._held[best]
+        others = [other for other in self._held if other != name]
+        most = max((self._held[other] for other in others), default=0)
+        best = max(others, key=self._read.__getitem__, default="")
+        if best and self._read[best] > own:
+            reading = most > self._read[best]
+            return Source(best, self._read[best], reading)
+        if most > own:
+            return Source("", own, True)
         if own >= self._prefix.shared_tokens:
-            return "", own
+            return Source("", own)
         for presumed in (self.home, self.first_home):
             if presumed and presumed != name:
-                return presumed, own
-        return "", own
+                return Source(presumed, own)
+        return Source("", own)
 
 
-def _held_tokens(
-    prefix: Prefix, name: str, known: prefix_locations.Locations, now: float
-) -> int:
-    held = 0
+def _tokens_at(
+    prefix: Prefix, name: str, known: upstreams.Upstreams
+) -> tuple[int, int]:
+    """Returns tokens that an upstream holds, and that it has read."""
+    held = read = 0
     for digest, tokens in zip(prefix.digests, prefix.tokens, strict=True):
-        stamp = known.stamp(digest, name)
-        if stamp is None or now - stamp > const.KEPT_S:
+        if not known.held(digest, name):
             break
+        if read == held and known.has_read(digest, name):
+            read = tokens
         held = tokens
-    return held
+    return held, read
 
 
 class Placement:
@@ -294,7 +312,7 @@
         demand: Demand,
         ready: Sequence[upstreams.Upstream],
         model: str,
-        known: prefix_locations.Locations,
+        known: upstreams.Upstreams,
         exclude: Collection[str],
         now: float,
     ) -> Choice | None:
@@ -308,7 +326,7 @@
         for version, items in by_version.items():
             prefix = demand.prefixes[version]
             names = {item.entry.name: item for item in items}
-            holders = Holders(prefix, names, known, now)
+            holders = Holders(prefix, names, known)
             for name, item in names.items():
                 if name not in exclude:
                     found.append(
@@ -323,9 +341,10 @@
     ) -> Candidate:
         name = item.entry.name
         own = holders.tokens(name)
-        source, reachable = holders.source_for(name)
+        source = holders.source_for(name)
+        reachable = source.tokens
         moved = max(0, reachable - own)
-        source_item = names.get(source)
+        source_item = names.get(source.name)
         far_move = source_item is not None and (
             source_item.entry.data_centre != item.entry.data_centre
         )
@@ -335,8 +354,9 @@
         wait_s = item.wait_s(now) + item.unseen_s(self._peers(), now)
         read = const.MOVE_WORTH_PER_TOKEN * moved * factor
         unread = max(0, prefix.shared_tokens - max(own, reachable))
-        if unread and name != holders.home:
-            read += const.HOME_CHANCE * const.REREAD_WORTH_PER_TOKEN * unread
+        if unread and (source.reading or name != holders.home):
+            chance = 1.0 if source.reading else const.HOME_CHANCE
+            read += chance * const.REREAD_WORTH_PER_TOKEN * unread
         late = late_chance(wait_s + read_s, demand.target_s) * const.LATE_PART
         late += (wait_s + read_s) * const.WAIT_PART_PER_S
         old = 0.0
--- a/bergamotmill/dispatch/upstreams.py
+++ b/bergamotmill/dispatch/upstreams.py
@@ -9,6 +9,9 @@
 from bergamotmill.routing import health as replica_health
 from bergamotmill.routing import locations as prefix_locations
 
+# Parts under way that are remembered.
+MAX_READING = 4096
+
 
 class UpstreamState(enum.Enum):
     """Whether an upstream takes new work."""
@@ -244,6 +247,34 @@
         self._known: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self.locations = prefix_locations.Locations()
+        # When parts that are being read now will be there.
+        self._ready_at: dict[tuple[int, str], float] = {}
+
+    def learn(self, digest: int, name: str, ready_s: float) -> None:
+        """Notes that an engine holds a part, or will in so many seconds."""
+        now = self._now()
+        stamp = self.locations.stamp(digest, name)
+        if stamp is None or now - stamp > const.KEPT_S:
+            self._ready_at.pop((digest, name), None)
+            self._ready_at[(digest, name)] = now + ready_s
+            if len(self._ready_at) > MAX_READING:
+                del self._ready_at[next(iter(self._ready_at))]
+        self.locations.learn("", digest, name, now)
+
+    def held(self, digest: int, name: str) -> bool:
+        """Whether an engine is believed to hold a part or to be reading it."""
+        stamp = self.locations.stamp(digest, name)
+        return stamp is not None and self._now() - stamp <= const.KEPT_S
+
+    def has_read(self, digest: int, name: str) -> bool:
+        """Whether a part that an engine holds can be moved from there."""
+        at = self._ready_at.get((digest, name))
+        if at is None:
+            return True
+        if self._now() < at:
+            return False
+        del self._ready_at[(digest, name)]
+        return True
 
     @property
     def known(self) -> Mapping[str, Upstream]:
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -59,15 +59,15 @@
             demand,
             self.known.ready("s"),
             "m",
-            self.known.locations,
+            self.known,
             (),
             self.now,
         )
 
-    def learn(self, name, wanted=None, scope="w1"):
+    def learn(self, name, wanted=None, scope="w1", ready_s=0.0):
         prefix = placement.prefix_of(wanted or generation(), scope)
         for digest in prefix.digests[:-1]:
-            self.known.locations.learn("", digest, name, self.now)
+            self.known.learn(digest, name, ready_s)
 
 
 class PlacementTest(PlacementCase):
@@ -94,6 +94,15 @@
         self.assertNotEqual(best.upstream.entry.name, "e0")
         self.assertEqual(best.source, "10.0.0.0:1")
 
+    def test_parts_are_not_moved_before_they_are_read(self):
+        self.learn("e0", ready_s=0.4)
+        best = self.decide().best
+        self.assertEqual(best.upstream.entry.name, "e0")
+        self.known.known["e0"].add_work(6.0, self.now)
+        self.assertEqual(self.decide().best.source, "")
+        self.now += 0.5
+        self.assertEqual(self.decide().best.source, "10.0.0.0:1")
+
     def test_an_old_belief_is_not_relied_on(self):
         self.learn("e0")
         self.now += const.KEPT_S + 1
