The engine with the least work waiting loads new weights first

Cause: an order waits for an engine's runs to end, up to 3 s, and the count of this router's own attempts says little of that. Change: order by the predicted wait.

--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -139,6 +139,7 @@
     known: Mapping[str, upstreams.Upstream],
     named: Mapping[str, int],
     under_way: set[str],
+    busy_s: Callable[[upstreams.Upstream], float],
 ) -> list[tuple[upstreams.Upstream, str, int]]:
     """Returns which engines are due for which version.
 
@@ -158,7 +159,7 @@
                 loading[model] = loading.get(model, 0) + 1
             elif item.weights[model] < version:
                 due.append((item, model, version))
-    due.sort(key=lambda found: (found[0].weights[found[1]], found[0].in_flight))
+    due.sort(key=lambda found: (found[0].weights[found[1]], busy_s(found[0])))
     picked = []
     for item, model, version in due:
         if loading.get(model, 0) < loading_limit(engines[model]):
@@ -293,7 +294,12 @@
             if name not in self._unreachable
             and item.failures.value(now) < FAILING
         }
-        due = next_engines(reachable, self._fleet.weights, self._under_way)
+        due = next_engines(
+            reachable,
+            self._fleet.weights,
+            self._under_way,
+            lambda item: item.wait_s(now),
+        )
         for item, model, version in due:
             if not self._turn_over(item.entry.name):
                 continue
