The age of named weights counts suspensions; a store at revision 0 is read once

Change: named times on the clock that counts suspension; a gap between ticks, or one just before, ages what is heard; UNREAD instead of position 0. Ruled out: clock steps of other machines at that moment (the age is taken on the boot clock).

--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -102,6 +102,11 @@
 BLIND_S = 2.0
 FEED_PAUSE_FIRST_S = 0.05
 FEED_PAUSE_LAST_S = 0.5
+# A gap between ticks that shows a suspension, and how long what comes after
+# it counts as having waited.
+TICK_PERIOD_S = 0.25
+PAUSE_LEAST_S = 0.9
+PAUSE_REMEMBERED_S = 3.0
 PULL_AFTER_S = 0.4
 PULL_PERIOD_S = 0.5
 PULL_TIMEOUT_S = 1.0
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -121,10 +121,12 @@
                 own.name, own.data_centre, lambda name: self._alive(name)
             ),
             own.name,
-            now,
+            self._clock,
             self._rng,
         )
-        self.fleet = fleet_state.Fleet(self.feed, self._dialect.decoder, now)
+        self.fleet = fleet_state.Fleet(
+            self.feed, self._dialect.decoder, self._clock
+        )
         self.membership = fleet_membership.Membership(
             fleet_members.Member(
                 own.name,
@@ -367,6 +369,7 @@
         children = {
             "documents": self.feed.run,
             "pulls": self.feed.run_pulls,
+            "ticks": self.feed.run_ticks,
             "heartbeats": self.feed.run_heartbeats,
             "membership": self._run_membership,
             "roster": self._run_roster,
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -21,9 +21,12 @@
 from bergamotmill.proto import peer_pb2
 from bergamotmill.storage import key_value
 from bergamotmill.util import backoff
+from bergamotmill.util import clock as clocks
 from bergamotmill.util import tasks as background
 
 SOURCE_STORE = "store"
+# Before everything has been read once.
+UNREAD = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,9 +61,13 @@
         peers: peer_links.PeerLinks,
         readers: Readers,
         own_name: str,
-        now: Callable[[], float],
+        clock: clocks.Clock,
         rng: random.Random,
     ):
+        self._clock = clock
+        self._ticked_at = float("inf")
+        self._pause_s = 0.0
+        self._pause_ended = float("-inf")
         self._readers = readers
         self._own_name = own_name
         self._tasks = background.Tasks()
@@ -68,13 +75,13 @@
         self._store = store
         self._prefix = prefix
         self._peers = peers
-        self._now = now
+        self._now = clock.monotonic
         self._pause = backoff.Backoff(
             const.FEED_PAUSE_FIRST_S, const.FEED_PAUSE_LAST_S, rng
         )
         self._documents: dict[str, Document] = {}
         self._listeners: list[Listener] = []
-        self._position = 0
+        self._position = UNREAD
         self._revision = 0
         self._store_ok = False
         self._store_ok_since = -const.STORE_DOUBT_S
@@ -95,8 +102,34 @@
 
     @property
     def unseen_s(self) -> float:
-        """For how long a change may have stood there before it was read."""
-        return self._unseen_s
+        """For how long a change may have stood there before it was read.
+
+        The store may have been out of sight, or this process suspended: a
+        suspension shows in the clock that counts it, before or after the
+        next tick.
+        """
+        now = self._clock.boottime()
+        paused_s = now - self._ticked_at
+        if paused_s < const.PAUSE_LEAST_S:
+            paused_s = 0.0
+        since = now - self._pause_ended
+        if since < const.PAUSE_REMEMBERED_S:
+            paused_s = max(paused_s, self._pause_s + since)
+        return max(self._unseen_s, paused_s)
+
+    async def run_ticks(self) -> None:
+        """Notices suspensions of this process, for ever."""
+        while True:
+            self._tick()
+            await asyncio.sleep(const.TICK_PERIOD_S)
+
+    def _tick(self) -> None:
+        now = self._clock.boottime()
+        gap_s = now - self._ticked_at
+        self._ticked_at = now
+        if gap_s >= const.PAUSE_LEAST_S:
+            self._pause_s, self._pause_ended = gap_s, now
+            decisions.record("paused", seconds=round(gap_s, 2))
 
     def disturbed(self) -> bool:
         """Whether the store fails or came back only lately."""
@@ -118,12 +151,12 @@
     async def run(self) -> None:
         """Follows the store for ever, while this process is a reader."""
         while True:
-            if self._position and not self._readers.is_reader():
+            if self._position != UNREAD and not self._readers.is_reader():
                 self._listen_to_readers()
                 await asyncio.sleep(const.READER_CHECK_S)
                 continue
             before = self._revision
-            if self._position == 0:
+            if self._position == UNREAD:
                 done = await self._read_all()
             else:
                 done = await self._follow()
@@ -226,7 +259,7 @@
         if isinstance(error, key_value.Compacted):
             decisions.record("history_lost", detail=error.reason)
             self._lost_sight()
-            self._position = 0
+            self._position = UNREAD
             return True
         self._store_failed(error.reason)
         return False
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -12,6 +12,7 @@
 from bergamotmill.dispatch import documents
 from bergamotmill.dispatch import upstreams
 from bergamotmill.helpers import decisions
+from bergamotmill.util import clock as clocks
 
 # Versions of a model whose naming is remembered.
 NAMED_KEPT = 64
@@ -61,11 +62,12 @@
         self,
         feed: documents.DocumentFeed,
         decoder: Decoder,
-        now: Callable[[], float],
+        clock: clocks.Clock,
     ):
         self._feed = feed
         self._decoder = decoder
-        self._now = now
+        self._clock = clock
+        self._now = clock.monotonic
         self._catalog = config.Catalog(0)
         self._weights: dict[str, int] = {}
         self._named: dict[str, list[tuple[int, float]]] = {}
@@ -74,7 +76,7 @@
         self._on_catalog: list[Callable[[config.Catalog], None]] = []
         self._on_routers: list[Callable[[], None]] = []
         self._on_weights: list[Callable[[], None]] = []
-        self.upstreams = upstreams.Upstreams(now)
+        self.upstreams = upstreams.Upstreams(clock.monotonic)
         feed.listen(self._changed)
 
     @property
@@ -100,7 +102,7 @@
         """Returns seconds since a newer version was named; 0 before that."""
         for newer, at in self._named.get(model, ()):
             if newer > version:
-                return self._now() - at
+                return self._clock.boottime() - at
         return 0.0
 
     def doubtful(self) -> bool:
@@ -206,7 +208,7 @@
         self._weights[named.model] = named.version
         history = self._named.setdefault(named.model, [])
         age_s = min(const.UNKNOWN_NAMED_AGE_S, self._feed.unseen_s)
-        history.append((named.version, self._now() - age_s))
+        history.append((named.version, self._clock.boottime() - age_s))
         del history[:-NAMED_KEPT]
         self._tell(self._on_weights)
 
--- /dev/null
+++ b/tests/dispatch/test_documents.py
@@ -0,0 +1,124 @@
+import asyncio
+import random
+import unittest
+
+from bergamotmill.dispatch import const
+from bergamotmill.dispatch import documents
+from bergamotmill.dispatch import fleet
+from bergamotmill.platform import const as platform_const
+from bergamotmill.platform import documents as platform_documents
+from bergamotmill.storage.memory import coordinator
+from bergamotmill.util import clock as clocks
+from bergamotmill.util import virtual_loop
+
+WEIGHTS_KEY = platform_const.PREFIX_WEIGHTS + "m"
+
+
+class SuspendedClock(clocks.LoopClock):
+    """A clock of which only `boottime` counts suspensions."""
+
+    def __init__(self):
+        super().__init__()
+        self.suspended_s = 0.0
+
+    def boottime(self):
+        return self.monotonic() + self.suspended_s
+
+
+class AllRead:
+    """Everybody reads the store."""
+
+    def is_reader(self):
+        return True
+
+    def told(self):
+        return ()
+
+
+class FeedCase(unittest.TestCase):
+    def run_feed(self, scenario):
+        async def main():
+            self.clock = SuspendedClock()
+            self.store = coordinator.MemoryStore()
+            self.feed = documents.DocumentFeed(
+                self.store,
+                "",
+                None,
+                AllRead(),
+                "vm-1",
+                self.clock,
+                random.Random(1),
+            )
+            self.fleet = fleet.Fleet(
+                self.feed, platform_documents.Decoder(), self.clock
+            )
+            tasks = [
+                asyncio.create_task(self.feed.run()),
+                asyncio.create_task(self.feed.run_ticks()),
+            ]
+            await asyncio.sleep(1.0)
+            await scenario()
+            for task in tasks:
+                task.cancel()
+
+        virtual_loop.run(main())
+
+    async def name(self, version):
+        text = f'{{"model": "m", "version": {version}}}'
+        await self.store.put(WEIGHTS_KEY, text.encode(), None)
+
+
+class AgeTest(FeedCase):
+    def test_a_version_seen_as_it_comes_is_new(self):
+        async def scenario():
+            await self.name(2)
+            await asyncio.sleep(0.1)
+            self.assertLess(self.fleet.superseded_s("m", 1), 0.2)
+
+        self.run_feed(scenario)
+
+    def test_one_named_during_a_suspension_is_as_old_as_that(self):
+        async def scenario():
+            await self.name(2)
+            self.clock.suspended_s += 3.0
+            await asyncio.sleep(0.1)
+            self.assertGreater(self.fleet.superseded_s("m", 1), 3.0)
+
+        self.run_feed(scenario)
+
+    def test_one_heard_of_soon_after_a_suspension_counts_as_waiting(self):
+        async def scenario():
+            self.clock.suspended_s += 3.0
+            await asyncio.sleep(1.0)
+            await self.name(2)
+            await asyncio.sleep(0.1)
+            self.assertGreater(
+                self.fleet.superseded_s("m", 1), const.UNKNOWN_NAMED_AGE_S
+            )
+
+        self.run_feed(scenario)
+
+    def test_a_suspension_later_on_ages_it_too(self):
+        async def scenario():
+            await self.name(2)
+            await asyncio.sleep(2.0)
+            self.clock.suspended_s += 5.0
+            self.assertGreater(self.fleet.superseded_s("m", 1), 6.9)
+
+        self.run_feed(scenario)
+
+    def test_the_first_newer_version_counts(self):
+        async def scenario():
+            await self.name(2)
+            await asyncio.sleep(3.0)
+            await self.name(3)
+            await asyncio.sleep(0.5)
+            self.assertGreater(self.fleet.superseded_s("m", 1), 3.0)
+            self.assertLess(self.fleet.superseded_s("m", 2), 1.0)
+            self.assertEqual(self.fleet.superseded_s("m", 3), 0.0)
+
+        self.run_feed(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
