--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -25,7 +25,8 @@
 EXCESS_FADE_S = 0.7
 EXCESS_MAX_S = 0.8
 
-# Costs of a candidate are in units of worth; see placement.
+# Costs of a candidate are in units of worth, as the operators price them;
+# a generation is worth a fixed part and a part for its size.
 REQUEST_WORTH = 0.6
 TOKENS_PER_WORTH = 2800.0
 OUTPUT_TOKEN_WEIGHT = 10.0
@@ -46,7 +47,8 @@
 EVENT_BYTES = 15
 FAR_PLAIN_S = 0.004
 OLD_WEIGHTS_PART = 0.2
-# Older weights cost nothing at first and may not be used in the end.
+# Older weights cost nothing for the first 1.5 s after a newer version was
+# acknowledged, and may not be used from 8 s on; both less the time to hear.
 OLD_WEIGHTS_FREE_S = 1.3
 OLD_WEIGHTS_LAST_S = 6.5
 # A process that has just started cannot know when a version was named.
@@ -120,10 +122,8 @@
 # Peers keep new work away for so long before an order goes out.
 ORDER_NOTICE_S = 0.08
 ORDER_TIMEOUT_S = 0.5
-ORDER_PERIOD_S = 0.1
 # An order without an answer is given again after so long.
 ORDER_AGAIN_S = 1.5
-LOADING_MAX = 3
 
 # While it is leaving, a router begins only what can end before it does.
 LEAVING_STREAM_S = 5.0
--- a/bergamotmill/dispatch/directory.py
+++ b/bergamotmill/dispatch/directory.py
@@ -8,8 +8,6 @@
 # Callers take so many addresses at most.
 MAX_ADDRESSES = 64
 LIFETIME_S = 2.0
-# A caller gets routers of its own data centre only when there are so many.
-NEAR_MIN = 2
 
 
 class Directory:
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -1,7 +1,7 @@
 """Carries one call to an upstream and its answer back to the caller."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 import random
 
 from bergamotmill.dispatch import config
@@ -11,11 +11,12 @@
 from bergamotmill.dispatch import notices
 from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import ports
+from bergamotmill.dispatch import progress as call_progress
+from bergamotmill.dispatch import records
 from bergamotmill.dispatch import upstreams
 from bergamotmill.dispatch import waiting
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import metrics as stats
-from bergamotmill.helpers import run_state
 from bergamotmill.routing import window_budget
 from bergamotmill.streams import events as sse
 from bergamotmill.upstream import errors
@@ -23,33 +24,11 @@
 
 # A caller that is sent away by a leaving router may try another at once.
 LEAVING_S = 0.02
-# Candidates shown in logs beside the chosen one.
-SHOWN = 4
 MAX_BODY_BYTES = 16 * 1024 * 1024
 _EVENT_ID = b"id:"
 _EJECTING = (errors.Failure.CONNECT, errors.Failure.SILENT)
 
 
-class Progress:
-    """How far a call has come over all its attempts."""
-
-    def __init__(self, call: messages.Call):
-        self.call = call
-        self.tracker = run_state.RunTracker()
-        self.tried: set[str] = set()
-        self.runs = 0
-        self.arrivals = 0
-        self.last_event_id = call.last_event_id
-        self.last_reason = ""
-        self.held = False
-        self.first_byte_s = 0.0
-
-    @property
-    def ran(self) -> bool:
-        """Whether an upstream may have run the call."""
-        return self.tracker.state is not run_state.RunState.NOT_SENT
-
-
 class Dispatcher:
     """Serves calls: chooses, sends, retries, relays and refuses."""
 
@@ -102,7 +81,7 @@
 
     async def serve(self, call: messages.Call, sink: ports.Sink) -> None:
         """Serves one call to its end; a caller that leaves ends it."""
-        progress = Progress(call)
+        progress = call_progress.Progress(call)
         if self._ends_before(call):
             rejection = messages.Rejection(503, "leaving", False, LEAVING_S)
             self._note(progress, rejection.reason, rejection.status)
@@ -136,7 +115,7 @@
         return self._end_in() < needed
 
     async def _guarded(
-        self, progress: Progress, sink: ports.Sink
+        self, progress: call_progress.Progress, sink: ports.Sink
     ) -> messages.Rejection | None:
         left = progress.call.deadline - self._now()
         try:
@@ -146,7 +125,10 @@
             return self._give_up(progress, "deadline")
 
     def _give_up(
-        self, progress: Progress, reason: str, retry_after_s: float = 0.0
+        self,
+        progress: call_progress.Progress,
+        reason: str,
+        retry_after_s: float = 0.0,
     ) -> messages.Rejection:
         """Returns the final answer that the run state allows."""
         if not progress.ran:
@@ -167,7 +149,7 @@
         return left * self._rng.uniform(*const.OVERLOAD_PAUSE_PARTS)
 
     async def _attempts(
-        self, progress: Progress, sink: ports.Sink
+        self, progress: call_progress.Progress, sink: ports.Sink
     ) -> messages.Rejection | None:
         call = progress.call
         service = self._service_of(call.route)
@@ -209,7 +191,7 @@
         return scope
 
     def _choose(
-        self, progress: Progress, service: str
+        self, progress: call_progress.Progress, service: str
     ) -> placement.Choice | None:
         call = progress.call
         known = self._fleet.upstreams
@@ -228,7 +210,7 @@
         )
 
     def _demand_of(
-        self, progress: Progress, versions: set[int]
+        self, progress: call_progress.Progress, versions: set[int]
     ) -> placement.Demand:
         call = progress.call
         generation = call.generation
@@ -256,7 +238,7 @@
             ),
         )
 
-    def _urgency_of(self, progress: Progress) -> int:
+    def _urgency_of(self, progress: call_progress.Progress) -> int:
         if progress.arrivals:
             return const.URGENCY_RETRY
         wanted = const.URGENCY_FIRST + max(0, progress.call.priority)
@@ -280,7 +262,7 @@
         return min(call.deadline, patience_end)
 
     async def _admit(
-        self, progress: Progress, choice: placement.Choice
+        self, progress: call_progress.Progress, choice: placement.Choice
     ) -> waiting.Verdict:
         """Judges a request; one that is held has waited when this returns."""
         call = progress.call
@@ -291,39 +273,23 @@
         if verdict is waiting.Verdict.HOLD:
             if not progress.held:
                 progress.held = True
-                self._note_held(progress, choice, outlook)
+                self._metrics.count("requests.held")
+                records.held(progress, choice, outlook, len(self._room))
             await self._room.wait(
                 call.priority, call.received_at, waiting.hold_left_s(outlook)
             )
         return verdict
 
-    def _note_held(
-        self,
-        progress: Progress,
-        choice: placement.Choice,
-        outlook: waiting.Outlook,
-    ) -> None:
-        self._metrics.count("requests.held")
-        decisions.record(
-            "held",
-            request=progress.call.request_id,
-            waiting=len(self._room),
-            wait_s=round(outlook.wait_s, 3),
-            read_s=round(outlook.read_s, 3),
-            target_s=round(outlook.target_s, 3),
-            considered=_brief(choice.ranked),
-        )
-
     async def _attempt(
         self,
-        progress: Progress,
+        progress: call_progress.Progress,
         sink: ports.Sink,
         choice: placement.Choice,
     ) -> messages.Rejection | None:
         call = progress.call
         item = choice.best.upstream
         attempt = self._plan(progress, choice)
-        self._note_choice(progress, choice, attempt)
+        records.choice(progress, choice, attempt, self._now())
         progress.tried.add(item.entry.name)
         progress.tracker.sending()
         item.started(
@@ -356,7 +322,7 @@
                 reply.close()
 
     def _plan(
-        self, progress: Progress, choice: placement.Choice
+        self, progress: call_progress.Progress, choice: placement.Choice
     ) -> messages.Attempt:
         call = progress.call
         entry = choice.best.upstream.entry
@@ -395,7 +361,7 @@
 
     async def _send(
         self,
-        progress: Progress,
+        progress: call_progress.Progress,
         attempt: messages.Attempt,
         item: upstreams.Upstream,
     ) -> ports.Reply:
@@ -431,7 +397,7 @@
 
     async def _pass_on(
         self,
-        progress: Progress,
+        progress: call_progress.Progress,
         sink: ports.Sink,
         reply: ports.Reply,
         item: upstreams.Upstream,
@@ -463,7 +429,7 @@
         progress.tracker.answered()
         self._note(progress, "answered", head.status, item.entry.name)
 
-    def _tries_again(self, progress: Progress) -> bool:
+    def _tries_again(self, progress: call_progress.Progress) -> bool:
         route = progress.call.route
         return route.repeatable and progress.runs + 1 < route.max_attempts
 
@@ -481,7 +447,7 @@
 
     async def _relay(
         self,
-        progress: Progress,
+        progress: call_progress.Progress,
         sink: ports.Sink,
         reply: ports.Reply,
         item: upstreams.Upstream,
@@ -510,7 +476,9 @@
             sink.start(reply.head)
         sink.finish()
 
-    def _note_events(self, progress: Progress, found: list[bytes]) -> None:
+    def _note_events(
+        self, progress: call_progress.Progress, found: list[bytes]
+    ) -> None:
         if not found:
             return
         for line in found[-1].split(b"\n"):
@@ -518,7 +486,7 @@
                 text = line[len(_EVENT_ID) :].strip()
                 progress.last_event_id = text.decode("latin-1")
 
-    def _note_first_byte(self, progress: Progress) -> None:
+    def _note_first_byte(self, progress: call_progress.Progress) -> None:
         call = progress.call
         waited = self._now() - call.received_at
         progress.first_byte_s = waited
@@ -526,7 +494,7 @@
 
     def _may_retry(
         self,
-        progress: Progress,
+        progress: call_progress.Progress,
         choice: placement.Choice,
         err: errors.UpstreamError,
     ) -> bool:
@@ -556,40 +524,9 @@
             return True
         return route.repeatable and progress.runs < route.max_attempts
 
-    def _note_choice(
-        self,
-        progress: Progress,
-        choice: placement.Choice,
-        attempt: messages.Attempt,
-    ) -> None:
-        best = choice.best
-        now = self._now()
-        decisions.record(
-            "choice",
-            request=progress.call.request_id,
-            route=progress.call.route.name,
-            upstream=attempt.upstream,
-            weights=attempt.weights,
-            wait_s=round(best.wait_s, 4),
-            read_s=round(best.read_s, 4),
-            late=round(best.late, 4),
-            read=round(best.read, 4),
-            far=round(best.far, 4),
-            old=round(best.old, 4),
-            failing=round(best.failing, 4),
-            prefix=best.prefix,
-            cached_tokens=best.cached_tokens,
-            source=best.source,
-            entry_age_s=round(now - best.upstream.seen_at, 2),
-            considered=len(choice.ranked),
-            next=_brief(choice.ranked[1:]),
-            attempt=len(progress.tried) + 1,
-            left_s=round(attempt.time_left_s, 3),
-        )
-
     def _note(
         self,
-        progress: Progress,
+        progress: call_progress.Progress,
         outcome: str,
         status: int,
         upstream: str = "",
@@ -599,27 +536,12 @@
         seconds = self._now() - call.received_at
         self._metrics.count(f"requests.{outcome}")
         self._metrics.timing(f"whole.{call.route.name}", seconds)
-        decisions.record(
-            "outcome",
-            request=call.request_id,
-            route=call.route.name,
-            customer=call.customer_name,
-            configuration=self._fleet.catalog.version,
-            outcome=outcome,
-            status=status,
-            upstream=upstream,
-            ran=progress.tracker.state.value,
-            detail=progress.last_reason,
-            seconds=round(seconds, 4),
-            first_byte_s=round(progress.first_byte_s, 4),
-            held=progress.held,
+        records.outcome(
+            progress,
+            outcome,
+            status,
+            upstream,
+            self._fleet.catalog.version,
+            seconds,
             **more,
         )
-
-
-def _brief(ranked: Sequence[placement.Candidate]) -> list[str]:
-    """Returns the cheapest few candidates with wait and cost, for logs."""
-    return [
-        f"{item.upstream.entry.name} {item.wait_s:.2f}s {item.cost:.2f}"
-        for item in ranked[:SHOWN]
-    ]
--- a/bergamotmill/dispatch/messages.py
+++ b/bergamotmill/dispatch/messages.py
@@ -77,7 +77,6 @@
         cache_scope: KV cache is shared only within one such text.
         urgency: 0 to 9 among the engine's requests, 0 first.
         copy_from: an address to fetch cached parts from.
-        keep_at: a store to which cached parts are sent.
         resume_after: the last event that the caller has.
         fresh: whether it needs a connection of its own.
     """
@@ -89,7 +88,6 @@
     cache_scope: str = ""
     urgency: int = -1
     copy_from: str = ""
-    keep_at: str = ""
     resume_after: str = ""
     fresh: bool = False
 
--- /dev/null
+++ b/bergamotmill/dispatch/records.py
@@ -0,0 +1,99 @@
+"""The lines that explain what was done with a call."""
+
+from collections.abc import Sequence
+
+from bergamotmill.dispatch import messages
+from bergamotmill.dispatch import placement
+from bergamotmill.dispatch import progress as call_progress
+from bergamotmill.dispatch import waiting
+from bergamotmill.helpers import decisions
+
+# Candidates shown beside the chosen one.
+SHOWN = 4
+
+
+def choice(
+    progress: call_progress.Progress,
+    chosen: placement.Choice,
+    attempt: messages.Attempt,
+    now: float,
+) -> None:
+    """Tells why an upstream was chosen, with its predictions and costs."""
+    best = chosen.best
+    decisions.record(
+        "choice",
+        request=progress.call.request_id,
+        route=progress.call.route.name,
+        upstream=attempt.upstream,
+        weights=attempt.weights,
+        wait_s=round(best.wait_s, 4),
+        read_s=round(best.read_s, 4),
+        late=round(best.late, 4),
+        read=round(best.read, 4),
+        far=round(best.far, 4),
+        old=round(best.old, 4),
+        failing=round(best.failing, 4),
+        prefix=best.prefix,
+        cached_tokens=best.cached_tokens,
+        source=best.source,
+        entry_age_s=round(now - best.upstream.seen_at, 2),
+        considered=len(chosen.ranked),
+        next=_brief(chosen.ranked[1:]),
+        attempt=len(progress.tried) + 1,
+        left_s=round(attempt.time_left_s, 3),
+    )
+
+
+def held(
+    progress: call_progress.Progress,
+    chosen: placement.Choice,
+    outlook: waiting.Outlook,
+    waiting_calls: int,
+) -> None:
+    """Tells that a call waits here, and how far behind each engine is."""
+    decisions.record(
+        "held",
+        request=progress.call.request_id,
+        waiting=waiting_calls,
+        wait_s=round(outlook.wait_s, 3),
+        read_s=round(outlook.read_s, 3),
+        target_s=round(outlook.target_s, 3),
+        considered=_brief(chosen.ranked),
+    )
+
+
+def outcome(
+    progress: call_progress.Progress,
+    name: str,
+    status: int,
+    upstream: str,
+    configuration: int,
+    seconds: float,
+    **more: object,
+) -> None:
+    """Tells how a call ended."""
+    call = progress.call
+    decisions.record(
+        "outcome",
+        request=call.request_id,
+        route=call.route.name,
+        customer=call.customer_name,
+        configuration=configuration,
+        outcome=name,
+        status=status,
+        upstream=upstream,
+        ran=progress.tracker.state.value,
+        detail=progress.last_reason,
+        seconds=round(seconds, 4),
+        first_byte_s=round(progress.first_byte_s, 4),
+        held=progress.held,
+        **more,
+    )
+
+
+def _brief(ranked: Sequence[placement.Candidate]) -> list[str]:
+    """Returns the cheapest few candidates with wait and cost."""
+    return [
+        f"{item.upstream.entry.name} {item.wait_s:.2f}s {item.cost:.2f}"
+        for item in ranked[:SHOWN]
+    ]
--- a/bergamotmill/platform/const.py
+++ b/bergamotmill/platform/const.py
@@ -44,7 +44,6 @@
 HEADER_WEIGHTS_USED = "weight-versions"
 HEADER_SCOPE = "cache-salt"
 HEADER_COPY_FROM = "kv-source"
-HEADER_KEEP_AT = "kv-sink"
 HEADER_URGENCY = "urgency-class"
 HEADER_RECEIPT = "response-seal"
 HEADER_NOT_RUN = "not-executed"
@@ -60,7 +59,7 @@
         HEADER_WEIGHTS,
         HEADER_SCOPE,
         HEADER_COPY_FROM,
-        HEADER_KEEP_AT,
+        "kv-sink",
         HEADER_URGENCY,
         HEADER_LAST_EVENT,
         "kv-backup",
@@ -91,4 +90,3 @@
 
 CALL_TIMEOUT_S = 2.0
 WATCH_SLACK_S = 2.0
-PAGE_ITEMS = 500
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -184,7 +184,6 @@
         const.HEADER_CUSTOMER: call.customer_name,
         const.HEADER_SCOPE: attempt.cache_scope,
         const.HEADER_COPY_FROM: attempt.copy_from,
-        const.HEADER_KEEP_AT: attempt.keep_at,
         const.HEADER_LAST_EVENT: attempt.resume_after,
     }
     if attempt.weights:
