Streams go on from a copy of their memory; bounds of weights are settings

Change: while a long one runs, another engine of the same data centre and weights keeps a copy of its memory; when its engine is found dead (takes no connection), the same run goes on there after the last event that the caller has.

Tests: with the choice of a copy switched off, the two new tests of test_calls fail; a third shows that a stream whose engine lives does not go on elsewhere.

--- /dev/null
+++ b/bergamotmill/dispatch/carrier.py
@@ -0,0 +1,147 @@
+"""Carries one attempt to an upstream, and its answer to the caller."""
+
+import asyncio
+from collections.abc import Callable
+
+from bergamotmill.dispatch import const
+from bergamotmill.dispatch import messages
+from bergamotmill.dispatch import ports
+from bergamotmill.dispatch import progress as call_progress
+from bergamotmill.dispatch import relay
+from bergamotmill.dispatch import upstreams
+from bergamotmill.upstream import errors
+from bergamotmill.util import tasks as background
+
+
+class Carrier:
+    """Sends attempts and notices upstreams that went silent."""
+
+    def __init__(
+        self,
+        link: ports.UpstreamLink,
+        answers: relay.Relay,
+        now: Callable[[], float],
+    ):
+        """Makes a carrier.
+
+        Args:
+            link: sends attempts.
+            answers: passes answers on.
+            now: the monotonic clock.
+        """
+        self._link = link
+        self._relay = answers
+        self._now = now
+        self._tasks = background.Tasks()
+
+    async def close(self) -> None:
+        """Cuts what is under way."""
+        await self._tasks.close()
+
+    async def is_gone(self, item: upstreams.Upstream) -> bool:
+        """Whether an upstream takes no connection at this moment."""
+        return not await self._link.answers(item.entry.address)
+
+    async def carry(
+        self,
+        progress: call_progress.Progress,
+        sink: ports.Sink,
+        item: upstreams.Upstream,
+        attempt: messages.Attempt,
+        work_s: float,
+    ) -> int:
+        """Sends an attempt and passes its answer on to the end.
+
+        Returns:
+            The status of the answer.
+
+        Raises:
+            errors.UpstreamError: there was no whole answer; the call's
+                progress tells what may have run.
+        """
+        call = progress.call
+        progress.tried.add(item.entry.name)
+        progress.tracker.sending()
+        item.started(call.request_id, work_s, self._now())
+        reply = watch = None
+        try:
+            reply = await self._send(progress, attempt, item)
+            item.answering(call.request_id, self._now())
+            if call.generation is not None and reply.head.weights:
+                item.holds(call.generation.model, reply.head.weights)
+            if progress.standby is not None:
+                watch = self._tasks.spawn(self._watch(progress, reply, item))
+            await self._relay.pass_on(
+                progress, sink, reply, item, progress.tries_again
+            )
+            progress.tracker.answered()
+            item.succeeded(self._now())
+            status = reply.head.status
+            reply.release()
+            reply = None
+            return status
+        except errors.UpstreamError as err:
+            if err.ran:
+                progress.runs += 1
+            else:
+                progress.tracker.refused_unrun()
+            if err.sent:
+                progress.arrivals += 1
+            raise
+        finally:
+            item.ended(call.request_id)
+            if watch is not None:
+                watch.cancel()
+            if reply is not None:
+                reply.close()
+
+    async def _send(
+        self,
+        progress: call_progress.Progress,
+        attempt: messages.Attempt,
+        item: upstreams.Upstream,
+    ) -> ports.Reply:
+        """Sends; a repeatable call leaves an upstream that went silent."""
+        call = progress.call
+        sending = self._tasks.spawn(self._link.send(call, attempt))
+        try:
+            while True:
+                done, _ = await asyncio.wait(
+                    {sending}, timeout=const.SILENT_CHECK_S
+                )
+                if done:
+                    return sending.result()
+                silent = item.silent_s(call.request_id, self._now())
+                if silent > const.SILENT_S and (
+                    progress.tries_again or await self._is_dead(item)
+                ):
+                    raise errors.UpstreamError(
+                        errors.Failure.SILENT, f"{silent:.2f} s", True
+                    )
+        finally:
+            if not sending.done():
+                sending.cancel()
+
+    async def _is_dead(self, item: upstreams.Upstream) -> bool:
+        """Whether a silent upstream takes no connection either."""
+        now = self._now()
+        if item.may_test(now):
+            answers = await self._link.answers(item.entry.address)
+            item.tested(not answers, self._now())
+        return item.found_dead(now)
+
+    async def _watch(
+        self,
+        progress: call_progress.Progress,
+        reply: ports.Reply,
+        item: upstreams.Upstream,
+    ) -> None:
+        """Ends a stream that can go on elsewhere when its engine is dead."""
+        limit_s = max(const.SILENT_S, progress.call.route.pause_s)
+        progress.heard_at = self._now()
+        while True:
+            await asyncio.sleep(const.SILENT_CHECK_S)
+            silent_s = self._now() - progress.heard_at
+            if silent_s > limit_s and await self._is_dead(item):
+                reply.close()
+                return
--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -48,9 +48,11 @@
 FAR_PLAIN_S = 0.004
 OLD_WEIGHTS_PART = 0.2
 # Older weights cost nothing for the first 1.5 s after a newer version was
-# acknowledged, and may not be used from 8 s on; both less the time to hear.
+# acknowledged, less the time to hear of it.
 OLD_WEIGHTS_FREE_S = 1.3
-OLD_WEIGHTS_LAST_S = 6.5
+# They go out of use so long before the bound: time to hear of the newer
+# version, and for what waits at an engine to begin.
+WEIGHTS_MARGIN_S = 1.5
 # A process that has just started cannot know when a version was named.
 UNKNOWN_NAMED_AGE_S = 4.0
 # Ranks at the engines by priority; what an engine has lost goes first.
@@ -117,8 +119,8 @@
 HOLDER_RENEW_S = 0.9
 HOLDER_MARGIN_S = 1.0
 HOLDER_SETTLE_S = 2.2
-# Turns of holders at one engine must lie so far apart.
-TURN_S = 3.2
+# Turns of holders at one engine lie so much further apart than they must.
+TURN_MARGIN_S = 0.2
 # Peers keep new work away for so long before an order goes out.
 ORDER_NOTICE_S = 0.08
 ORDER_TIMEOUT_S = 0.5
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -20,6 +20,7 @@
 from bergamotmill.dispatch import fleet as fleet_state
 from bergamotmill.dispatch import notices
 from bergamotmill.dispatch import placement
+from bergamotmill.dispatch import planner
 from bergamotmill.dispatch import ports
 from bergamotmill.dispatch import readers as feed_readers
 from bergamotmill.dispatch import rollout
@@ -169,9 +170,12 @@
             holder,
             self.fleet,
             self._dialect.link,
-            self._may_take_lease,
-            self._announce,
-            self._leave_behind,
+            rollout.Surroundings(
+                self._may_take_lease,
+                self._announce,
+                self._leave_behind,
+                self._settings.weights.turn_s,
+            ),
             self._clock,
             self._rng,
         )
@@ -187,20 +191,25 @@
             self._clock.monotonic,
             self._rng,
         )
-        self.dispatcher = call_dispatcher.Dispatcher(
+        plans = planner.Planner(
             self.fleet,
-            self._dialect.link,
             placement.Placement(
                 self._settings.router.data_centre,
                 lambda: len(self.membership.alive()) - 1,
                 self._rng,
             ),
-            self._budget_of,
             self.notices,
-            self.end_in,
-            self.metrics,
+            self._settings.weights.last_s,
             self._clock.monotonic,
-            self._rng,
+        )
+        self.dispatcher = call_dispatcher.Dispatcher(
+            self.fleet,
+            self._dialect.link,
+            plans,
+            self._budget_of,
+            call_dispatcher.Process(
+                self.end_in, self.metrics, self._clock.monotonic, self._rng
+            ),
         )
 
     def _make_servers(self, make_peer_server) -> None:
--- a/bergamotmill/dispatch/messages.py
+++ b/bergamotmill/dispatch/messages.py
@@ -79,6 +79,9 @@
         copy_from: an address to fetch cached parts from.
         resume_after: the last event that the caller has.
         fresh: whether it needs a connection of its own.
+        copy_to: the address of an engine that is to keep a copy of the
+            run's memory.
+        continue_at: the address of the copy from which the run goes on.
     """
 
     address: str
@@ -90,6 +93,8 @@
     copy_from: str = ""
     resume_after: str = ""
     fresh: bool = False
+    copy_to: str = ""
+    continue_at: str = ""
 
 
 class NotRun(enum.Enum):
--- /dev/null
+++ b/bergamotmill/dispatch/planner.py
@@ -0,0 +1,176 @@
+"""Plans attempts: which upstream, with what, and who is told."""
+
+from collections.abc import Callable
+
+from bergamotmill.dispatch import const
+from bergamotmill.dispatch import fleet as fleet_state
+from bergamotmill.dispatch import messages
+from bergamotmill.dispatch import notices
+from bergamotmill.dispatch import placement
+from bergamotmill.dispatch import progress as call_progress
+from bergamotmill.dispatch import standby
+
+# The id that stands before the first event of a stream.
+_BEFORE_ALL = "0"
+
+
+class Planner:
+    """Turns what is known of a call and of the fleet into an attempt."""
+
+    def __init__(
+        self,
+        fleet: fleet_state.Fleet,
+        choose: placement.Placement,
+        sent: notices.Notices,
+        weights_last_s: float,
+        now: Callable[[], float],
+    ):
+        """Makes a planner.
+
+        Args:
+            fleet: what calls are served by.
+            choose: picks upstreams.
+            sent: tells peers of attempts.
+            weights_last_s: for so long after a newer version was named, an
+                older one may still be used.
+            now: the monotonic clock.
+        """
+        self._fleet = fleet
+        self._placement = choose
+        self._notices = sent
+        self._weights_last_s = weights_last_s
+        self._now = now
+
+    def choose(
+        self, progress: call_progress.Progress, service: str
+    ) -> placement.Choice | None:
+        """Ranks a service's upstreams for a call; none when there is none."""
+        call = progress.call
+        known = self._fleet.upstreams
+        now = self._now()
+        ready = known.ready(service)
+        # When all are ejected, any is better than none.
+        ready = [item for item in ready if item.usable(now)] or ready
+        if call.generation is None:
+            return self._placement.plain(ready, progress.tried, now)
+        model = call.generation.model
+        demand = self._demand_of(
+            progress, {u.weights.get(model, 0) for u in ready}
+        )
+        return self._placement.engine(
+            demand, ready, model, known, progress.tried, now
+        )
+
+    def _demand_of(
+        self, progress: call_progress.Progress, versions: set[int]
+    ) -> placement.Demand:
+        call = progress.call
+        generation = call.generation
+        model = generation.model
+        superseded_s = {
+            version: self._fleet.superseded_s(model, version)
+            for version in versions
+        }
+        size = len(call.body) + const.EVENT_BYTES * generation.output_tokens
+        return placement.Demand(
+            prefixes={
+                version: placement.prefix_of(
+                    generation, scope_of(call, version)
+                )
+                for version in versions
+                if superseded_s[version] < self._weights_last_s
+            },
+            worth=placement.worth_of(generation),
+            target_s=call.route.target_s - (self._now() - call.received_at),
+            far_bytes=size,
+            stale=frozenset(
+                version
+                for version in versions
+                if superseded_s[version] > const.OLD_WEIGHTS_FREE_S
+            ),
+        )
+
+    def plan(
+        self, progress: call_progress.Progress, choice: placement.Choice
+    ) -> messages.Attempt:
+        """Returns how a call goes to the chosen upstream, and tells peers."""
+        call = progress.call
+        entry = choice.best.upstream.entry
+        weights = 0
+        scope = ""
+        urgency = -1
+        if call.generation is not None:
+            model = call.generation.model
+            weights = choice.best.upstream.weights.get(model, 0)
+            scope = scope_of(call, weights)
+            urgency = urgency_of(progress)
+            self._learn(call, scope, choice)
+            progress.standby = _standby_of(call, choice, weights, scope)
+        return messages.Attempt(
+            address=entry.address,
+            upstream=entry.name,
+            time_left_s=self._time_left_s(call),
+            weights=weights,
+            cache_scope=scope,
+            urgency=urgency,
+            copy_from=choice.best.source,
+            resume_after=progress.last_event_id,
+            fresh=not call.route.repeatable,
+            copy_to=progress.standby_address,
+        )
+
+    def continuation(
+        self, progress: call_progress.Progress, kept: standby.Standby
+    ) -> messages.Attempt:
+        """Returns how a lost run goes on from the copy of its memory."""
+        entry = kept.upstream.entry
+        return messages.Attempt(
+            address=entry.address,
+            upstream=entry.name,
+            time_left_s=self._time_left_s(progress.call),
+            weights=kept.weights,
+            cache_scope=kept.scope,
+            urgency=const.URGENCY_RETRY,
+            resume_after=progress.last_event_id or _BEFORE_ALL,
+            fresh=True,
+            continue_at=entry.address,
+        )
+
+    def _time_left_s(self, call: messages.Call) -> float:
+        return call.deadline - self._now() - const.RETURN_MARGIN_S
+
+    def _learn(
+        self, call: messages.Call, scope: str, choice: placement.Choice
+    ) -> None:
+        """Presumes that the engine will hold the prompt, and tells peers."""
+        prefix = placement.prefix_of(call.generation, scope)
+        best = choice.best
+        entry = best.upstream.entry
+        for digest in prefix.digests:
+            self._fleet.upstreams.learn(digest, entry.name, best.first_byte_s)
+        self._notices.sent(entry, prefix.digests, best.work_s)
+
+
+def scope_of(call: messages.Call, weights: int) -> str:
+    """Returns the text within which cached parts are shared."""
+    scope = f"w{weights}"
+    if call.customer is not None and call.customer.isolated:
+        scope += f".{call.customer.name}"
+    return scope
+
+
+def urgency_of(progress: call_progress.Progress) -> int:
+    """Returns a call's rank at an engine; what was lost goes first."""
+    if progress.arrivals:
+        return const.URGENCY_RETRY
+    wanted = const.URGENCY_FIRST + max(0, progress.call.priority)
+    return min(const.URGENCY_LAST, wanted)
+
+
+def _standby_of(
+    call: messages.Call, choice: placement.Choice, weights: int, scope: str
+) -> standby.Standby | None:
+    found = standby.pick(call, choice, weights)
+    if found is None:
+        return None
+    return standby.Standby(found, weights, scope)
--- a/bergamotmill/dispatch/records.py
+++ b/bergamotmill/dispatch/records.py
@@ -5,6 +5,8 @@
 from bergamotmill.dispatch import messages
 from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import progress as call_progress
+from bergamotmill.dispatch import standby
+from bergamotmill.dispatch import upstreams
 from bergamotmill.dispatch import waiting
 from bergamotmill.helpers import decisions
 
@@ -41,6 +43,26 @@
         next=_brief(chosen.ranked[1:]),
         attempt=len(progress.tried) + 1,
         left_s=round(attempt.time_left_s, 3),
+        copy_to=attempt.copy_to,
+    )
+
+
+def continuation(
+    progress: call_progress.Progress,
+    kept: standby.Standby,
+    lost: upstreams.Upstream,
+    refusal: str,
+) -> None:
+    """Tells whether a run whose engine is lost goes on at another one."""
+    decisions.record(
+        "continuation",
+        request=progress.call.request_id,
+        lost=lost.entry.name,
+        upstream=kept.upstream.entry.name,
+        weights=kept.weights,
+        last_event=progress.last_event_id,
+        goes_on=not refusal,
+        reason=refusal,
     )
 
 
--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -168,6 +168,23 @@
     return picked
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a rollout asks of the router around it.
+
+    Attributes:
+        may_take: whether the lease seems free and is ours to try.
+        announce: tells peers of an engine.
+        leave_behind: keeps a handover for the next holder.
+        turn_s: how far apart orders of two holders to one engine must lie.
+    """
+
+    may_take: Callable[[], bool]
+    announce: Announce
+    leave_behind: Callable[[bytes], Awaitable[None]]
+    turn_s: float
+
+
 class Rollout:
     """Gives the orders while it holds the lease."""
 
@@ -176,9 +193,7 @@
         holder: fencing_holder.Holder,
         fleet: fleet_state.Fleet,
         link: OrderLink,
-        may_take: Callable[[], bool],
-        announce: Announce,
-        leave_behind: Callable[[bytes], Awaitable[None]],
+        around: Surroundings,
         clock: clocks.Clock,
         rng: random.Random,
     ):
@@ -188,18 +203,17 @@
             holder: the lease.
             fleet: which weights are named, and who holds which.
             link: talks to engines.
-            may_take: whether the lease seems free and is ours to try.
-            announce: tells peers of an engine.
-            leave_behind: keeps a handover for the next holder.
+            around: the router around it.
             clock: the clocks.
             rng: draws pauses.
         """
         self._holder = holder
         self._fleet = fleet
         self._link = link
-        self._may_take = may_take
-        self._announce = announce
-        self._leave_behind = leave_behind
+        self._may_take = around.may_take
+        self._announce = around.announce
+        self._leave_behind = around.leave_behind
+        self._turn_s = around.turn_s
         self._clock = clock
         self._rng = rng
         self._tasks = background.Tasks()
@@ -262,8 +276,8 @@
         handover, at = self._handover
         if handover.fencing != self._previous_fencing:
             return False
-        age_s = handover.ages_s.get(name, const.TURN_S)
-        return age_s + self._clock.boottime() - at >= const.TURN_S
+        age_s = handover.ages_s.get(name, self._turn_s)
+        return age_s + self._clock.boottime() - at >= self._turn_s
 
     async def run(self) -> None:
         """Gives orders for ever."""
--- a/bergamotmill/dispatch/settings.py
+++ b/bergamotmill/dispatch/settings.py
@@ -6,6 +6,7 @@
 
 import result
 
+from bergamotmill.dispatch import const
 from bergamotmill.helpers import findings
 from bergamotmill.helpers import json_file
 from bergamotmill.settings import schema
@@ -15,6 +16,7 @@
 CONF_SEEDS = "seeds"
 CONF_RETRIES = "retries"
 CONF_SHUTDOWN = "shutdown"
+CONF_WEIGHTS = "weights"
 CONF_LOG = "log"
 CONF_FLEET_KEY = "fleet_key"
 
@@ -61,6 +63,30 @@
     grace_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightsSettings:
+    """Bounds on the use of older weights, in milliseconds.
+
+    Attributes:
+        deadline_ms: so long after a newer version was named, nothing may
+            begin on an older one.
+        turn_ms: orders of two routers to one engine lie further apart.
+    """
+
+    deadline_ms: float = 8000.0
+    turn_ms: float = 3000.0
+
+    @property
+    def last_s(self) -> float:
+        """For how long an older version may be used, in seconds."""
+        return self.deadline_ms / 1000.0 - const.WEIGHTS_MARGIN_S
+
+    @property
+    def turn_s(self) -> float:
+        """How far apart orders of two routers are kept, in seconds."""
+        return self.turn_ms / 1000.0 + const.TURN_MARGIN_S
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogSettings:
     """Which lines are written."""
@@ -82,6 +108,7 @@
     shutdown: ShutdownSettings
     fleet_key: str
     seeds: tuple[str, ...] = ()
+    weights: WeightsSettings = WeightsSettings()
     log: LogSettings = LogSettings()
 
 
@@ -109,6 +136,9 @@
         CONF_SHUTDOWN: schema.section(
             {"grace_s": schema.POSITIVE}, ("grace_s",)
         ),
+        CONF_WEIGHTS: schema.section(
+            {"deadline_ms": schema.POSITIVE, "turn_ms": schema.POSITIVE}
+        ),
         CONF_LOG: schema.section(
             {"level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]}}
         ),
@@ -136,6 +166,7 @@
         shutdown=ShutdownSettings(**value[CONF_SHUTDOWN]),
         fleet_key=value[CONF_FLEET_KEY],
         seeds=tuple(value.get(CONF_SEEDS, ())),
+        weights=WeightsSettings(**value.get(CONF_WEIGHTS, {})),
         log=LogSettings(**value.get(CONF_LOG, {})),
     )
 
--- a/bergamotmill/dispatch/upstreams.py
+++ b/bergamotmill/dispatch/upstreams.py
@@ -84,6 +84,7 @@
         self.failures = FailureRate()
         self._health = replica_health.ReplicaHealth()
         self._tested_at = now - const.TEST_PERIOD_S
+        self._dead_at = float("-inf")
         self.weights = dict(entry.weights)
         self._cold_until = now + entry.cold_left_s
         self._busy_until = 0.0
@@ -204,6 +205,14 @@
         self._tested_at = now
         return True
 
+    def tested(self, dead: bool, now: float) -> None:
+        """Notes whether it took a connection."""
+        self._dead_at = now if dead else float("-inf")
+
+    def found_dead(self, now: float) -> bool:
+        """Whether a test lately found that it takes no connection."""
+        return now - self._dead_at < 2 * const.TEST_PERIOD_S
+
     def failed(self, now: float, at_once: bool) -> bool:
         """Takes note of a failed attempt; True when that ejects it."""
         self.failures.note(True, now)
--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -362,6 +362,7 @@
     timeout_s: float = 5.0,
     limit: int = 64 * 1024 * 1024,
     fresh: bool = False,
+    host: str = "",
 ) -> tuple[ResponseHead, bytes]:
     """Sends one request and returns head and whole body.
 
@@ -372,7 +373,7 @@
     async with asyncio.timeout(timeout_s):
         conn = await pool.acquire(address, fresh)
         try:
-            head = await conn.request(method, target, headers, body)
+            head = await conn.request(method, target, headers, body, host=host)
             data = await conn.read_all(limit)
         except BaseException:
             conn.close()
--- a/bergamotmill/platform/const.py
+++ b/bergamotmill/platform/const.py
@@ -44,6 +44,8 @@
 HEADER_WEIGHTS_USED = "weight-versions"
 HEADER_SCOPE = "cache-salt"
 HEADER_COPY_FROM = "kv-source"
+HEADER_COPY_TO = "kv-backup"
+HEADER_CONTINUE = "kv-from"
 HEADER_URGENCY = "urgency-class"
 HEADER_RECEIPT = "response-seal"
 HEADER_NOT_RUN = "not-executed"
@@ -62,8 +64,8 @@
         "kv-sink",
         HEADER_URGENCY,
         HEADER_LAST_EVENT,
-        "kv-backup",
-        "kv-from",
+        HEADER_COPY_TO,
+        HEADER_CONTINUE,
         "hold",
         "pin-ms",
     }
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -185,7 +185,12 @@
         const.HEADER_SCOPE: attempt.cache_scope,
         const.HEADER_COPY_FROM: attempt.copy_from,
         const.HEADER_LAST_EVENT: attempt.resume_after,
+        const.HEADER_COPY_TO: attempt.copy_to,
     }
+    if attempt.continue_at:
+        # A copy is named by where it lies and by the request's id.
+        copy = f"{attempt.continue_at}/{call.request_id}"
+        own[const.HEADER_CONTINUE] = copy
     if attempt.weights:
         own[const.HEADER_WEIGHTS] = str(attempt.weights)
     if attempt.urgency >= 0:
--- a/bergamotmill/standin/platform/fleet.py
+++ b/bergamotmill/standin/platform/fleet.py
@@ -169,6 +169,7 @@
             f"{host}:80",
             _data_centre(number, self.sizes),
             self._publish,
+            self._send_copy,
             model=MODEL if engine else "",
             slots=64 if engine else 6,
             **more,
@@ -184,6 +185,12 @@
         else:
             await self.store.write(key, value)
 
+    def _send_copy(self, address: str, request_id: str) -> None:
+        """Has a replica keep the memory of another one's run."""
+        for standin in self.replicas.values():
+            if standin.address == address:
+                standin.copies.add(request_id)
+
     async def crash_replica(self, name: str) -> None:
         """Kills a replica without a word."""
         standin = self.replicas.pop(name)
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -28,6 +28,7 @@
     began: float
     resumed_after: int = 0
     ended: str = ""
+    continued: bool = False
 
 
 @dataclasses.dataclass
@@ -64,11 +65,13 @@
         address: str,
         data_centre: str,
         publish: Publish,
+        send_copy: Callable[[str, str], None] = lambda to, request: None,
         model: str = "",
         weights: int = 1,
         slots: int = 64,
         work_s: float = 0.05,
         born: int = 1,
+        listen: str = "",
     ):
         self.name = name
         self.service = service
@@ -82,8 +85,9 @@
         self.faults = Faults()
         self.runs: list[Run] = []
         self.orders: list[tuple[str, int, int]] = []
-        self.refused = 0
+        self.refused: list[tuple[float, str, str]] = []
         self._publish = publish
+        self._send_copy = send_copy
         self._work_s = work_s
         self._sequence = 0
         self._running = 0
@@ -91,7 +95,9 @@
         self._reading_until = 0.0
         self._cached: dict[tuple[str, str], int] = {}
         self._fence = 0
-        self._server = http_server.HttpServer(address, self._handle)
+        # Requests of which another engine sent a copy of their memory.
+        self.copies: set[str] = set()
+        self._server = http_server.HttpServer(listen or address, self._handle)
 
     async def start(self) -> None:
         """Starts listening and registers."""
@@ -157,7 +163,14 @@
         ]
 
     def _refuse(self, exchange) -> None:
-        self.refused += 1
+        headers = exchange.request.headers
+        self.refused.append(
+            (
+                asyncio.get_running_loop().time(),
+                headers.get(const.HEADER_REQUEST_ID, ""),
+                headers.get(const.HEADER_CUSTOMER, ""),
+            )
+        )
         lines = self._lines(exchange)
         lines.append((const.HEADER_NOT_RUN.encode(), b"1"))
         exchange.respond(503, b"", lines)
@@ -180,7 +193,18 @@
             loop.time(),
             int(headers.get(const.HEADER_LAST_EVENT, "0")),
         )
+        kept = headers.get(const.HEADER_CONTINUE)
+        if kept:
+            if kept != f"{self.address}/{run.request_id}" or (
+                run.request_id not in self.copies
+            ):
+                self._refuse(exchange)
+                return
+            run.continued = True
         self.runs.append(run)
+        copy_to = headers.get(const.HEADER_COPY_TO)
+        if copy_to:
+            self._send_copy(copy_to, run.request_id)
         self._running += 1
         try:
             if self.model:
--- a/tests/dispatch/test_calls.py
+++ b/tests/dispatch/test_calls.py
@@ -181,6 +181,54 @@
 
         self.run_fleet(scenario)
 
+    def test_a_lost_engines_stream_goes_on_from_a_copy_of_its_memory(self):
+        async def scenario():
+            task = asyncio.create_task(
+                self.fleet.call("review", output=200, request_id="r")
+            )
+            await asyncio.sleep(0.5)
+            (run,) = self.fleet.runs("r")
+            await self.fleet.crash_replica(self._place_of(run))
+            answer = await task
+            self.assert_stream(answer, 200)
+            (again,) = self.fleet.runs("r")
+            self.assertTrue(again.continued)
+            self.assertGreater(again.resumed_after, 0)
+
+        self.run_fleet(scenario, engines=4, data_centres=1)
+
+    def test_an_engine_that_goes_dark_counts_as_lost(self):
+        async def scenario():
+            task = asyncio.create_task(
+                self.fleet.call("review", output=400, request_id="r")
+            )
+            await asyncio.sleep(0.5)
+            (run,) = self.fleet.runs("r")
+            place = self.fleet.replicas[self._place_of(run)]
+            host = place.address.partition(":")[0]
+            for router in range(3):
+                self.network.cut(fleet.router_host(router), host)
+            answer = await task
+            self.assert_stream(answer, 400)
+
+        self.run_fleet(scenario, engines=4, data_centres=1)
+
+    def test_a_stream_whose_engine_lives_never_goes_on_elsewhere(self):
+        async def scenario():
+            for item in self.fleet.replicas.values():
+                item.faults.cut_after = 7
+            answer = await self.fleet.call("review", output=60)
+            self.assertFalse(answer.whole)
+            self.assertEqual(len(self.fleet.runs()), 1)
+
+        self.run_fleet(scenario, engines=4, data_centres=1)
+
+    def _place_of(self, wanted):
+        for name, item in self.fleet.replicas.items():
+            if wanted in item.runs:
+                return name
+        raise AssertionError("no engine runs it")
+
     def test_a_caller_that_leaves_ends_the_work(self):
         async def scenario():
             task = asyncio.create_task(
--- a/tests/dispatch/test_settings.py
+++ b/tests/dispatch/test_settings.py
@@ -1,8 +1,11 @@
+import contextlib
+import io
 import pathlib
 import tempfile
 import unittest
 
 from bergamotmill.cli import dispatcher
+from bergamotmill.cli import main
 from bergamotmill.dispatch import settings
 
 GOOD = """{
@@ -39,6 +42,23 @@
         self.assertTrue(any("store.address" in item for item in found), found)
         self.assertTrue(any("shutdown" in item for item in found), found)
 
+    def test_the_command_line_checks_them_too(self):
+        self.path.write_text(GOOD.replace('"grace_s"', '"grace"'))
+        out = io.StringIO()
+        with contextlib.redirect_stderr(out):
+            status = main.main(["check", str(self.path)])
+        self.assertEqual(status, main.EXIT_FINDINGS)
+        self.assertIn(str(self.path), out.getvalue())
+        self.assertIn("shutdown", out.getvalue())
+
+    def test_bounds_on_older_weights_follow_the_settings(self):
+        text = GOOD.replace(
+            '"shutdown"', '"weights": {"deadline_ms": 10000}, "shutdown"'
+        )
+        self.path.write_text(text)
+        found = settings.load(str(self.path)).unwrap()
+        self.assertEqual(found.weights.last_s, 8.5)
+
     def test_the_deploy_template_names_what_the_schema_knows(self):
         root = pathlib.Path(__file__).parents[2]
         text = (root / "deploy" / "settings.json").read_text()
