A fault soak over real processes; a report page; check reads both settings

script/soak processes starts routers as processes on loopback before stand-ins of the platform; every way to the store and to the replicas passes a proxy. Faults come in overlapping series; eleven promises are checked from what callers and replicas saw while it runs. Each check fails on an observation that breaks it.

The signal is ignored from the first line of main now; test_main fails without that.

bergamotmill report draws load, first bytes, refusals and versions from logs.

--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -10,6 +10,7 @@
 from bergamotmill.bench import decision
 from bergamotmill.bench import limits
 from bergamotmill.bench import policy
+from bergamotmill.bench import process_soak
 from bergamotmill.bench import processes
 from bergamotmill.bench import relay
 from bergamotmill.bench import slopes
@@ -23,6 +24,7 @@
     "slopes": slopes,
     "processes": processes,
     "soak": soak,
+    "soak-processes": process_soak,
     "relay": relay,
 }
 
--- a/bergamotmill/cli/main.py
+++ b/bergamotmill/cli/main.py
@@ -11,8 +11,10 @@
 import bergamotmill
 from bergamotmill import core
 from bergamotmill.cli import client
+from bergamotmill.cli import report
 from bergamotmill.cli import show
 from bergamotmill.cli import story
+from bergamotmill.dispatch import settings as router_settings
 from bergamotmill.helpers import json_file
 from bergamotmill.settings import config
 from bergamotmill.settings import drivers
@@ -40,6 +42,7 @@
   bergamotmill status
   bergamotmill explain 3f2a...
   bergamotmill explain 9c41d07be2a35f68 router-*.log
+  bergamotmill report router-*.log --to day.html
 """
 
 
@@ -91,6 +94,11 @@
         help="logs of routers; without any, a router is asked",
     )
     _add_common(explain)
+    drawn = commands.add_parser(
+        "report", help="draw what routers' logs say over time"
+    )
+    drawn.add_argument("logs", nargs="+", help="logs of routers")
+    drawn.add_argument("--to", default="report.html", help="the page's file")
     return parser
 
 
@@ -109,10 +117,7 @@
 
 
 def _check(arguments: argparse.Namespace) -> int:
-    loaded = config.load(arguments.file)
-    found = loaded.err() or []
-    if loaded.is_ok():
-        found = drivers.check(loaded.ok(), arguments.file)
+    found = _findings_of(arguments.file)
     if found:
         return _print_findings(found, arguments.json)
     if arguments.json:
@@ -122,6 +127,20 @@
     return EXIT_OK
 
 
+def _findings_of(path: str) -> list[Any]:
+    """Checks settings of either kind of router; all findings together."""
+    read = json_file.read(path)
+    if read.is_err():
+        return read.err()
+    value = read.ok()
+    if isinstance(value, dict) and router_settings.CONF_STORE in value:
+        return router_settings.from_mapping(value, path).err() or []
+    loaded = config.load(path)
+    if loaded.is_err():
+        return loaded.err()
+    return drivers.check(loaded.ok(), path)
+
+
 def _key_digest(arguments: argparse.Namespace) -> int:
     key = arguments.key
     if key == "-":
@@ -224,6 +243,8 @@
         return _shown(arguments, "/status", show.status)
     if arguments.command == "audit":
         return _shown(arguments, f"/audit?count={arguments.count}", show.audit)
+    if arguments.command == "report":
+        return report.write(arguments.logs, arguments.to)
     if arguments.logs:
         return story.tell(arguments.request, arguments.logs, arguments.json)
     request = urllib.parse.quote(arguments.request)
--- a/bergamotmill/platform/__main__.py
+++ b/bergamotmill/platform/__main__.py
@@ -1,15 +1,20 @@
 """Runs one router on the platform."""
 
 import os
+import signal
 import sys
 
-from bergamotmill.cli import dispatcher
-from bergamotmill.platform import const
-from bergamotmill.platform import dialect
-
 
 def main() -> int:
     """Runs until the platform stops the process."""
+    # The platform may say that the settings changed while the imports below
+    # still run; without a handler that would end the process. The file is
+    # read after them and looked at from then on.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from bergamotmill.cli import dispatcher
+    from bergamotmill.platform import const
+    from bergamotmill.platform import dialect
+
     path = os.environ.get(const.SETTINGS_VARIABLE, "")
     if not path:
         print(f"{const.SETTINGS_VARIABLE} is not set", file=sys.stderr)
