Named weights' ages are learned from peers; cached parts age by tokens

Change: documents that are pulled from peers carry the ages they know; a started router asks until nothing is a guess; a guess leaves older weights 1.5 s.

Cached parts were believed held for 10 s. Engines drop what was used longest ago; with 30 thousand new tokens a second to an engine that is after 6.5 s, and after three where half of the engines are gone. They age by the tokens that were stored after them now.

The setting streams.keep_copies stays, off.

--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -8,6 +8,7 @@
 
 from bergamotmill.bench import control
 from bergamotmill.bench import decision
+from bergamotmill.bench import dispatch
 from bergamotmill.bench import limits
 from bergamotmill.bench import policy
 from bergamotmill.bench import process_soak
@@ -19,6 +20,7 @@
 COMMANDS = {
     "policy": policy,
     "decision": decision,
+    "dispatch": dispatch,
     "control": control,
     "limits": limits,
     "slopes": slopes,
--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -211,7 +211,7 @@
             near.address,
             f"dc-{number % DATA_CENTRES}",
             self._publish,
-            self._send_copy,
+            self._neighbour,
             model=MODEL if engine else "",
             weights=max(1, self.weights),
             slots=64 if engine else 6,
@@ -258,14 +258,12 @@
         else:
             await self.store.write(key, value)
 
-    def _send_copy(self, address: str, request_id: str) -> None:
+    def _neighbour(self, address: str) -> replica.ReplicaStandIn | None:
+        """Returns the replica at an address, as other replicas reach it."""
         for standin in self.replicas.values():
             if standin.address == address:
-                standin.copies.add(request_id)
-
-    def now(self) -> float:
-        """Returns the time on the clock of all observations."""
-        return time.monotonic()
+                return standin
+        return None
 
     async def remove_entry(self, name: str) -> None:
         """Takes a replica's entry away, as its end does in time."""
--- a/bergamotmill/dispatch/config.py
+++ b/bergamotmill/dispatch/config.py
@@ -87,12 +87,14 @@
         memory_tokens: KV memory of one engine.
         token_bytes: KV bytes of one token.
         watchers: cache-event calls that one engine holds at once.
+        keeps_copies: whether one engine can keep a copy of another's runs.
     """
 
     slots: int
     memory_tokens: int
     token_bytes: int
     watchers: int
+    keeps_copies: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -53,19 +53,30 @@
 # They go out of use so long before the bound: time to hear of the newer
 # version, and for what waits at an engine to begin.
 WEIGHTS_MARGIN_S = 1.5
-# A process that has just started cannot know when a version was named.
-UNKNOWN_NAMED_AGE_S = 4.0
+# A process that has just started cannot know when a version was named, if
+# none of its peers does. It may use older weights for so long, with a margin
+# to the three seconds in which nobody relies on it.
+JUST_STARTED_S = 1.5
+UNKNOWN_NAMED_AGE_S = 5.0
+# How many peers it asks, how often, and until what age that matters.
+AGE_PEERS = 3
+AGE_PERIOD_S = 0.3
+AGE_ASKED_S = 12.0
 # Ranks at the engines by priority; what an engine has lost goes first.
 URGENCY_RETRY = 1
 URGENCY_FIRST = 2
 URGENCY_LAST = 8
+# Reading that takes more than this part of the target leaves no room for
+# others to go first.
+TIGHT_PART = 0.4
 # Nothing came for so long after an answer was due: try another upstream.
 SILENT_S = 0.6
 SILENT_CHECK_S = 0.2
 # A silent upstream is tested with a connection at most so often.
 TEST_PERIOD_S = 0.5
-# How long a part stays in an engine's memory after its last use.
-KEPT_S = 10.0
+# The part of an engine's memory that holds parts of prompts which are not in
+# use; requests under way take the rest.
+CACHE_PART = 0.8
 
 RETRY_PAUSE_S = 0.25
 RETRY_JITTER = 0.5
@@ -84,10 +95,12 @@
 # What was sent so lately, peers may have sent alike without our knowledge.
 HERD_WINDOW_S = 0.03
 NOTICE_TIMEOUT_S = 0.3
-# Up to so many routers all tell all; beyond, those of a data centre do, and
-# no more than so many.
+# Up to so many routers all tell all; beyond, each tells some of its data
+# centre, less often: a message costs about half a millisecond of processor
+# time on both sides together.
 NOTICE_ALL_UP_TO = 16
-NOTICE_RECEIVERS = 24
+NOTICE_RECEIVERS = 8
+NOTICE_PERIOD_LARGE_S = 0.05
 
 # Leases: the term, and how often it is renewed (three tries in a term).
 ROSTER_LEASE_S = 4.0
@@ -102,6 +115,10 @@
 READER_PERIOD_S = 0.8
 READER_SILENT_S = 2.6
 READER_CHECK_S = 0.3
+# Between two looks at the store; where others are told, each look costs a
+# message to each of them. Changes must be in force within two seconds.
+FOLLOW_PAUSE_S = 0.1
+FOLLOW_PAUSE_TOLD_S = 0.25
 # A watch that fails may have been deaf for so long before.
 BLIND_S = 2.0
 FEED_PAUSE_FIRST_S = 0.05
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Sequence
 import dataclasses
 import random
-from typing import Protocol
+from typing import Any, Protocol
 
 from bergamotmill import supervisor
 from bergamotmill.control import const as control_const
@@ -81,6 +81,21 @@
     ready: Callable[[Callable[[], bool]], http_server.Handler]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Makers:
+    """How parts are made that tests and experiments replace.
+
+    Attributes:
+        peers: makes the calls to other routers.
+        peer_server: makes what answers them.
+        chooser: makes what chooses upstreams.
+    """
+
+    peers: Callable[..., peer_links.PeerLinks] = peer_links.GrpcPeers
+    peer_server: Callable[..., Any] = peer_links.GrpcPeerServer
+    chooser: Callable[..., placement.Placement] = placement.Placement
+
+
 class Daemon:
     """Owns all parts of one router."""
 
@@ -92,8 +107,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         incarnation: int,
-        make_peers=peer_links.GrpcPeers,
-        make_peer_server=peer_links.GrpcPeerServer,
+        makers: Makers | None = None,
     ):
         self._settings = settings
         self._store = store
@@ -106,10 +120,11 @@
         self._tasks = background.Tasks()
         self._supervisor = supervisor.Supervisor("router", rng)
         self.metrics = stats.Metrics()
-        self._peers = make_peers(settings.fleet_key, self._peer_address)
+        makers = makers or Makers()
+        self._peers = makers.peers(settings.fleet_key, self._peer_address)
         self._make_control()
-        self._make_dispatch()
-        self._make_servers(make_peer_server)
+        self._make_dispatch(makers)
+        self._make_servers(makers)
 
     def _make_control(self) -> None:
         own = self._settings.router
@@ -126,8 +141,12 @@
             self._rng,
         )
         self.fleet = fleet_state.Fleet(
-            self.feed, self._dialect.decoder, self._clock
+            self.feed,
+            self._dialect.decoder,
+            self._clock,
+            self._settings.weights.last_s - const.JUST_STARTED_S,
         )
+        self.feed.share_ages(self.fleet)
         self.membership = fleet_membership.Membership(
             fleet_members.Member(
                 own.name,
@@ -181,7 +200,7 @@
         )
         self.feed.listen(self._on_document)
 
-    def _make_dispatch(self) -> None:
+    def _make_dispatch(self, makers: Makers) -> None:
         self._budgets: dict[str, window_budget.WindowBudget] = {}
         self.notices = notices.Notices(
             self.fleet.upstreams,
@@ -193,13 +212,16 @@
         )
         plans = planner.Planner(
             self.fleet,
-            placement.Placement(
+            makers.chooser(
                 self._settings.router.data_centre,
                 lambda: len(self.membership.alive()) - 1,
                 self._rng,
             ),
             self.notices,
-            self._settings.weights.last_s,
+            planner.Limits(
+                self._settings.weights.last_s,
+                self._settings.streams.keep_copies,
+            ),
             self._clock.monotonic,
         )
         self.dispatcher = call_dispatcher.Dispatcher(
@@ -212,7 +234,7 @@
             ),
         )
 
-    def _make_servers(self, make_peer_server) -> None:
+    def _make_servers(self, makers: Makers) -> None:
         own = self._settings.router
         dialect = self._dialect
         book = directory.Directory(self.membership.alive, self._rng)
@@ -234,7 +256,7 @@
             "Publish": self.feed.on_publish,
             "Weights": self._on_weights_notice,
         }
-        self._peer_server = make_peer_server(
+        self._peer_server = makers.peer_server(
             own.peer, self._settings.fleet_key, handlers
         )
 
@@ -382,6 +404,7 @@
             "heartbeats": self.feed.run_heartbeats,
             "membership": self._run_membership,
             "roster": self._run_roster,
+            "ages": self._run_ages,
             "lease": self.rollout.run_lease,
             "rollout": self.rollout.run,
         }
@@ -412,6 +435,21 @@
         await self.membership.join()
         await self.membership.run()
 
+    async def _run_ages(self) -> None:
+        """Asks peers when weights were named while that is a guess."""
+        while True:
+            await asyncio.sleep(const.AGE_PERIOD_S)
+            if self.fleet.guesses_ages:
+                await self._ask_ages()
+
+    async def _ask_ages(self) -> None:
+        own = self._settings.router.name
+        names = [m.name for m in self.membership.alive() if m.name != own]
+        self._rng.shuffle(names)
+        async with asyncio.TaskGroup() as group:
+            for name in names[: const.AGE_PEERS]:
+                group.create_task(self.feed.pull(name))
+
     async def _run_roster(self) -> None:
         while self.fleet.catalog.version == 0:
             await asyncio.sleep(BOOT_PERIOD_S)
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -41,6 +41,18 @@
 Listener = Callable[[Document, str], None]
 
 
+class Ages(Protocol):
+    """Ages of what stands in documents, which the store does not tell."""
+
+    def known_ages(self) -> list[peer_pb2.WeightsAge]:
+        """Returns the ages that this process knows for sure."""
+
+    def take_ages(
+        self, source: str, ages: Iterable[peer_pb2.WeightsAge]
+    ) -> None:
+        """Takes the ages that a peer knows."""
+
+
 class Readers(Protocol):
     """Who reads the store, and whom readers tell."""
 
@@ -50,6 +62,9 @@
     def told(self) -> Sequence[str]:
         """Returns the names of those that this reader tells."""
 
+    def pause_s(self) -> float:
+        """Returns how long a reader waits before it asks again."""
+
 
 class DocumentFeed:
     """Owns the latest known state of all keys."""
@@ -81,6 +96,7 @@
         )
         self._documents: dict[str, Document] = {}
         self._listeners: list[Listener] = []
+        self._ages: Ages | None = None
         self._position = UNREAD
         self._revision = 0
         self._store_ok = False
@@ -144,6 +160,10 @@
         """Calls the listener with each change and where it came from."""
         self._listeners.append(listener)
 
+    def share_ages(self, ages: Ages) -> None:
+        """Has ages told to and taken from peers along with documents."""
+        self._ages = ages
+
     def value(self, key: str) -> Document | None:
         """Returns what is known of a key."""
         return self._documents.get(key)
@@ -162,6 +182,8 @@
                 done = await self._follow()
             if done:
                 self._publish(before)
+                # What changes meanwhile comes with the next call.
+                await asyncio.sleep(self._readers.pause_s())
             else:
                 await asyncio.sleep(self._pause.next())
 
@@ -343,6 +365,8 @@
 
     def _take(self, name: str, reply: peer_pb2.DocumentsReply) -> None:
         self._adopt_all(name, reply.documents)
+        if self._ages is not None:
+            self._ages.take_ages(name, reply.ages)
         if reply.revision >= self._revision:
             self._confirmed_at = self._now()
         self._revision = max(self._revision, reply.revision)
@@ -361,6 +385,7 @@
         return peer_pb2.DocumentsReply(
             documents=self._since(request.after_revision),
             revision=self._revision,
+            ages=[] if self._ages is None else self._ages.known_ages(),
         )
 
     def _since(self, revision: int) -> list[peer_pb2.Document]:
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -1,7 +1,7 @@
 """The state that calls are served by: catalogue, weights and upstreams."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 import dataclasses
 from typing import Protocol
 
@@ -12,6 +12,7 @@
 from bergamotmill.dispatch import documents
 from bergamotmill.dispatch import upstreams
 from bergamotmill.helpers import decisions
+from bergamotmill.proto import peer_pb2
 from bergamotmill.util import clock as clocks
 
 # Versions of a model whose naming is remembered.
@@ -37,6 +38,14 @@
     data_centre: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Naming:
+    """When a version was named, on the clock that counts suspensions."""
+
+    at: float
+    guessed: bool
+
+
 Decoded = config.Catalog | WeightsNamed | upstreams.UpstreamEntry | RouterEntry
 
 
@@ -63,14 +72,25 @@
         feed: documents.DocumentFeed,
         decoder: Decoder,
         clock: clocks.Clock,
+        unknown_age_s: float = const.UNKNOWN_NAMED_AGE_S,
     ):
+        """Makes a fleet.
+
+        Args:
+            feed: the documents.
+            decoder: reads them.
+            clock: the clocks.
+            unknown_age_s: how old named weights are taken to be whose naming
+                neither this process nor a peer has seen.
+        """
+        self._unknown_age_s = unknown_age_s
         self._feed = feed
         self._decoder = decoder
         self._clock = clock
         self._now = clock.monotonic
         self._catalog = config.Catalog(0)
         self._weights: dict[str, int] = {}
-        self._named: dict[str, list[tuple[int, float]]] = {}
+        self._named: dict[str, dict[int, _Naming]] = {}
         self._routers: dict[str, RouterEntry] = {}
         self._absent: dict[str, asyncio.TimerHandle] = {}
         self._on_catalog: list[Callable[[config.Catalog], None]] = []
@@ -100,10 +120,53 @@
 
     def superseded_s(self, model: str, version: int) -> float:
         """Returns seconds since a newer version was named; 0 before that."""
-        for newer, at in self._named.get(model, ()):
-            if newer > version:
-                return self._clock.boottime() - at
-        return 0.0
+        newer = [
+            naming.at
+            for other, naming in self._named.get(model, {}).items()
+            if other > version
+        ]
+        return self._clock.boottime() - min(newer) if newer else 0.0
+
+    @property
+    def guesses_ages(self) -> bool:
+        """Whether a peer may know better when weights were named."""
+        now = self._clock.boottime()
+        return any(
+            naming.guessed and now - naming.at < const.AGE_ASKED_S
+            for namings in self._named.values()
+            for naming in namings.values()
+        )
+
+    def known_ages(self) -> list[peer_pb2.WeightsAge]:
+        """Returns when weights were named, as far as that is known."""
+        now = self._clock.boottime()
+        return [
+            peer_pb2.WeightsAge(
+                model=model, version=version, age_s=now - naming.at
+            )
+            for model, namings in self._named.items()
+            for version, naming in namings.items()
+            if not naming.guessed
+        ]
+
+    def take_ages(
+        self, source: str, ages: Iterable[peer_pb2.WeightsAge]
+    ) -> None:
+        """Takes what a peer knows in place of guesses."""
+        now = self._clock.boottime()
+        for item in ages:
+            namings = self._named.setdefault(item.model, {})
+            known = namings.get(item.version)
+            if known is not None and not known.guessed:
+                continue
+            namings[item.version] = _Naming(now - item.age_s, False)
+            decisions.record(
+                "weights_age",
+                model=item.model,
+                version=item.version,
+                age_s=round(item.age_s, 2),
+                source=source,
+            )
 
     def doubtful(self) -> bool:
         """Whether the configuration may well be out of date."""
@@ -191,6 +254,11 @@
             source=source,
         )
         self._catalog = catalog
+        for service in catalog.services.values():
+            if service.engine is not None:
+                self.upstreams.set_memory(
+                    service.name, service.engine.memory_tokens
+                )
         for listener in self._on_catalog:
             listener(catalog)
 
@@ -206,10 +274,14 @@
             source=source,
         )
         self._weights[named.model] = named.version
-        history = self._named.setdefault(named.model, [])
-        age_s = min(const.UNKNOWN_NAMED_AGE_S, self._feed.unseen_s)
-        history.append((named.version, self._clock.boottime() - age_s))
-        del history[:-NAMED_KEPT]
+        age_s = min(self._unknown_age_s, self._feed.unseen_s)
+        namings = self._named.setdefault(named.model, {})
+        if named.version not in namings:
+            namings[named.version] = _Naming(
+                self._clock.boottime() - age_s, age_s > const.BLIND_S
+            )
+        for version in sorted(namings)[:-NAMED_KEPT]:
+            del namings[version]
         self._tell(self._on_weights)
 
     def _upstream_changed(
--- a/bergamotmill/dispatch/notices.py
+++ b/bergamotmill/dispatch/notices.py
@@ -46,6 +46,7 @@
         self,
         entry: upstreams.UpstreamEntry,
         digests: Sequence[int],
+        stored_tokens: int,
         work_s: float,
     ) -> None:
         """Has a request told to peers."""
@@ -56,12 +57,16 @@
                 replica=entry.name,
                 incarnation=entry.born,
                 digests=digests,
+                tokens=stored_tokens,
                 work_ms=int(work_s * MS),
             )
         )
         if self._timer is None:
+            pause_s = const.NOTICE_PERIOD_S
+            if self._behind_each() > 1.0:
+                pause_s = const.NOTICE_PERIOD_LARGE_S
             self._timer = asyncio.get_running_loop().call_later(
-                const.NOTICE_PERIOD_S, self.flush
+                pause_s, self.flush
             )
 
     def flush(self) -> None:
@@ -89,6 +94,7 @@
             item = self._known.known.get(notice.replica)
             if item is None or item.entry.born != notice.incarnation:
                 continue
+            item.stores(int(behind_each * notice.tokens))
             item.add_work(behind_each * notice.work_ms / MS, now)
             for digest in notice.digests:
                 self._known.learn(
--- a/bergamotmill/dispatch/planner.py
+++ b/bergamotmill/dispatch/planner.py
@@ -1,6 +1,7 @@
 """Plans attempts: which upstream, with what, and who is told."""
 
 from collections.abc import Callable
+import dataclasses
 
 from bergamotmill.dispatch import const
 from bergamotmill.dispatch import fleet as fleet_state
@@ -14,6 +15,20 @@
 _BEFORE_ALL = "0"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What the settings allow.
+
+    Attributes:
+        weights_last_s: for so long after a newer version was named, an older
+            one may still be used.
+        keep_copies: whether long streams have a copy of their memory kept.
+    """
+
+    weights_last_s: float
+    keep_copies: bool
+
+
 class Planner:
     """Turns what is known of a call and of the fleet into an attempt."""
 
@@ -22,7 +37,7 @@
         fleet: fleet_state.Fleet,
         choose: placement.Placement,
         sent: notices.Notices,
-        weights_last_s: float,
+        limits: Limits,
         now: Callable[[], float],
     ):
         """Makes a planner.
@@ -31,14 +46,13 @@
             fleet: what calls are served by.
             choose: picks upstreams.
             sent: tells peers of attempts.
-            weights_last_s: for so long after a newer version was named, an
-                older one may still be used.
+            limits: what the settings allow.
             now: the monotonic clock.
         """
         self._fleet = fleet
         self._placement = choose
         self._notices = sent
-        self._weights_last_s = weights_last_s
+        self._limits = limits
         self._now = now
 
     def choose(
@@ -78,7 +92,7 @@
                     generation, scope_of(call, version)
                 )
                 for version in versions
-                if superseded_s[version] < self._weights_last_s
+                if superseded_s[version] < self._limits.weights_last_s
             },
             worth=placement.worth_of(generation),
             target_s=call.route.target_s - (self._now() - call.received_at),
@@ -103,9 +117,9 @@
             model = call.generation.model
             weights = choice.best.upstream.weights.get(model, 0)
             scope = scope_of(call, weights)
-            urgency = urgency_of(progress)
+            urgency = urgency_of(progress, choice)
             self._learn(call, scope, choice)
-            progress.standby = _standby_of(call, choice, weights, scope)
+            progress.standby = self._standby_of(call, choice, weights, scope)
         return messages.Attempt(
             address=entry.address,
             upstream=entry.name,
@@ -119,6 +133,26 @@
             copy_to=progress.standby_address,
         )
 
+    def _standby_of(
+        self,
+        call: messages.Call,
+        choice: placement.Choice,
+        weights: int,
+        scope: str,
+    ) -> standby.Standby | None:
+        if not self._limits.keep_copies:
+            return None
+        name = choice.best.upstream.entry.service
+        service = self._fleet.catalog.services.get(name)
+        if service is None or service.engine is None:
+            return None
+        if not service.engine.keeps_copies:
+            return None
+        found = standby.pick(call, choice, weights)
+        if found is None:
+            return None
+        return standby.Standby(found, weights, scope)
+
     def continuation(
         self, progress: call_progress.Progress, kept: standby.Standby
     ) -> messages.Attempt:
@@ -146,9 +180,11 @@
         prefix = placement.prefix_of(call.generation, scope)
         best = choice.best
         entry = best.upstream.entry
+        stored = max(0, prefix.total_tokens - best.cached_tokens)
+        best.upstream.stores(stored)
         for digest in prefix.digests:
             self._fleet.upstreams.learn(digest, entry.name, best.first_byte_s)
-        self._notices.sent(entry, prefix.digests, best.work_s)
+        self._notices.sent(entry, prefix.digests, stored, best.work_s)
 
 
 def scope_of(call: messages.Call, weights: int) -> str:
@@ -159,18 +195,19 @@
     return scope
 
 
-def urgency_of(progress: call_progress.Progress) -> int:
-    """Returns a call's rank at an engine; what was lost goes first."""
+def urgency_of(
+    progress: call_progress.Progress, choice: placement.Choice
+) -> int:
+    """Returns a call's rank at an engine; what was lost goes first.
+
+    A prompt whose reading takes most of its target is not to be overtaken
+    by what comes after it, whatever the routes' ranks are: one that is
+    overtaken once is late.
+    """
     if progress.arrivals:
         return const.URGENCY_RETRY
-    wanted = const.URGENCY_FIRST + max(0, progress.call.priority)
+    call = progress.call
+    if choice.best.read_s > const.TIGHT_PART * call.route.target_s:
+        return const.URGENCY_FIRST
+    wanted = const.URGENCY_FIRST + max(0, call.priority)
     return min(const.URGENCY_LAST, wanted)
-
-
-def _standby_of(
-    call: messages.Call, choice: placement.Choice, weights: int, scope: str
-) -> standby.Standby | None:
-    found = standby.pick(call, choice, weights)
-    if found is None:
-        return None
-    return standby.Standby(found, weights, scope)
--- a/bergamotmill/dispatch/readers.py
+++ b/bergamotmill/dispatch/readers.py
@@ -8,6 +8,7 @@
 
 from bergamotmill.control import const as control_const
 from bergamotmill.control import members as fleet_members
+from bergamotmill.dispatch import const
 from bergamotmill.util import rendezvous
 
 ORDER_KEY = "readers"
@@ -39,6 +40,16 @@
         """Whether this process follows the store itself."""
         return self._own_name in self._readers()
 
+    def pause_s(self) -> float:
+        """Returns how long a reader waits before it asks again.
+
+        Upstreams report all the time: without a pause every report would be
+        a call of its own, and one to each router that is told.
+        """
+        if self.told():
+            return const.FOLLOW_PAUSE_TOLD_S
+        return const.FOLLOW_PAUSE_S
+
     def told(self) -> Sequence[str]:
         """Returns the names of those that this reader tells."""
         readers = set(self._readers())
--- a/bergamotmill/dispatch/settings.py
+++ b/bergamotmill/dispatch/settings.py
@@ -17,6 +17,7 @@
 CONF_RETRIES = "retries"
 CONF_SHUTDOWN = "shutdown"
 CONF_WEIGHTS = "weights"
+CONF_STREAMS = "streams"
 CONF_LOG = "log"
 CONF_FLEET_KEY = "fleet_key"
 
@@ -87,6 +88,19 @@
         return self.turn_ms / 1000.0 + const.TURN_MARGIN_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamSettings:
+    """What is done for streams that may not be repeated.
+
+    Attributes:
+        keep_copies: whether another engine keeps a copy of the memory of
+            long ones. Copies take the place of cached prompts: worth it
+            where memory is ample and engines are lost often.
+    """
+
+    keep_copies: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LogSettings:
     """Which lines are written."""
@@ -109,6 +123,7 @@
     fleet_key: str
     seeds: tuple[str, ...] = ()
     weights: WeightsSettings = WeightsSettings()
+    streams: StreamSettings = StreamSettings()
     log: LogSettings = LogSettings()
 
 
@@ -139,6 +154,7 @@
         CONF_WEIGHTS: schema.section(
             {"deadline_ms": schema.POSITIVE, "turn_ms": schema.POSITIVE}
         ),
+        CONF_STREAMS: schema.section({"keep_copies": {"type": "boolean"}}),
         CONF_LOG: schema.section(
             {"level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]}}
         ),
@@ -167,6 +183,7 @@
         fleet_key=value[CONF_FLEET_KEY],
         seeds=tuple(value.get(CONF_SEEDS, ())),
         weights=WeightsSettings(**value.get(CONF_WEIGHTS, {})),
+        streams=StreamSettings(**value.get(CONF_STREAMS, {})),
         log=LogSettings(**value.get(CONF_LOG, {})),
     )
 
--- a/bergamotmill/dispatch/upstreams.py
+++ b/bergamotmill/dispatch/upstreams.py
@@ -98,6 +98,7 @@
         self._heard_at = now
         self._burst_s = 0.0
         self._burst_at = now - const.HERD_WINDOW_S
+        self._stored_tokens = 0
 
     @property
     def in_flight(self) -> int:
@@ -130,6 +131,15 @@
         """Whether it is believed to be carrying out an order."""
         return now < self._order_until
 
+    @property
+    def stored_tokens(self) -> int:
+        """Tokens that were put into its cache since it is known."""
+        return self._stored_tokens
+
+    def stores(self, tokens: int) -> None:
+        """Notes tokens that it reads or fetches, and so puts into its cache."""
+        self._stored_tokens += tokens
+
     def add_work(self, work_s: float, now: float) -> None:
         """Notes work that this process or a peer has sent there."""
         self._backlog_s = self.backlog_s(now) + work_s
@@ -256,24 +266,38 @@
         self._known: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self.locations = prefix_locations.Locations()
+        self._memory_tokens: dict[str, int] = {}
         # When parts that are being read now will be there.
         self._ready_at: dict[tuple[int, str], float] = {}
 
+    def set_memory(self, service: str, tokens: int) -> None:
+        """Takes how many tokens each engine of a service has room for."""
+        self._memory_tokens[service] = tokens
+
     def learn(self, digest: int, name: str, ready_s: float) -> None:
         """Notes that an engine holds a part, or will in so many seconds."""
-        now = self._now()
-        stamp = self.locations.stamp(digest, name)
-        if stamp is None or now - stamp > const.KEPT_S:
+        item = self._known.get(name)
+        if item is None:
+            return
+        if not self.held(digest, name):
             self._ready_at.pop((digest, name), None)
-            self._ready_at[(digest, name)] = now + ready_s
+            self._ready_at[(digest, name)] = self._now() + ready_s
             if len(self._ready_at) > MAX_READING:
                 del self._ready_at[next(iter(self._ready_at))]
-        self.locations.learn("", digest, name, now)
+        # Engines drop what was used longest ago: a part's age is counted in
+        # tokens that came after it.
+        self.locations.learn("", digest, name, item.stored_tokens)
 
     def held(self, digest: int, name: str) -> bool:
         """Whether an engine is believed to hold a part or to be reading it."""
         stamp = self.locations.stamp(digest, name)
-        return stamp is not None and self._now() - stamp <= const.KEPT_S
+        item = self._known.get(name)
+        if stamp is None or item is None:
+            return False
+        memory = self._memory_tokens.get(item.entry.service, 0)
+        if not memory:
+            return True
+        return item.stored_tokens - stamp <= const.CACHE_PART * memory
 
     def has_read(self, digest: int, name: str) -> bool:
         """Whether a part that an engine holds can be moved from there."""
--- a/bergamotmill/dispatch/waiting.py
+++ b/bergamotmill/dispatch/waiting.py
@@ -21,6 +21,8 @@
 SPARE_LARGE_S = 0.1
 # Nothing waits here for longer than this part of the time it has.
 HOLD_PART = 0.25
+# A wait that is shorter than this is none.
+LEAST_HOLD_S = 0.001
 # How many look again at each tick.
 LOOKS = 2
 TICK_S = 0.04
@@ -64,7 +66,7 @@
         spare_s = SPARE_LARGE_S
     if outlook.wait_s <= spare_s and first_byte_s < outlook.left_s:
         return Verdict.GO
-    if hold_left_s(outlook) <= 0:
+    if hold_left_s(outlook) < LEAST_HOLD_S:
         return Verdict.REFUSE
     return Verdict.HOLD
 
--- a/bergamotmill/platform/documents.py
+++ b/bergamotmill/platform/documents.py
@@ -178,6 +178,7 @@
         memory_tokens=int(item.get("kvCapacityTokens", 0)),
         token_bytes=int(item.get("kvTokenBytes", 0)),
         watchers=int(item.get("maxInFlight", 0)),
+        keeps_copies=bool(item.get("backups", False)),
     )
 
 
--- a/bergamotmill/standin/platform/fleet.py
+++ b/bergamotmill/standin/platform/fleet.py
@@ -1,12 +1,14 @@
 """Routers on a stand-in of the platform, in memory on a virtual clock."""
 
 import asyncio
+from collections.abc import Callable
 import contextvars
 import dataclasses
 import random
 from typing import Any
 
 from bergamotmill.dispatch import daemon
+from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import settings as router_settings
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
@@ -35,6 +37,7 @@
     engines: int = 3
     services: int = 2
     data_centres: int = 2
+    keep_copies: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,6 +49,7 @@
     headers: dict[bytes, bytes] = dataclasses.field(default_factory=dict)
     seconds: float = 0.0
     whole: bool = True
+    first_byte_s: float = 0.0
 
     def events(self) -> list[int]:
         """Returns the numbers of a stream's events."""
@@ -93,7 +97,11 @@
                 "name": "engines",
                 "healthPath": "/health",
                 "maxConnections": 360,
-                "engine": {"slots": 64, "kvCapacityTokens": 259523},
+                "engine": {
+                    "slots": 64,
+                    "kvCapacityTokens": 259523,
+                    "backups": True,
+                },
             },
             {"name": "registry", "healthPath": "/health"},
         ],
@@ -126,14 +134,19 @@
         network: memory_network.MemoryNetwork,
         rng: random.Random,
         sizes: Sizes | None = None,
+        make_placement: Callable[..., placement.Placement] = (
+            placement.Placement
+        ),
     ):
         self.network = network
         self.rng = rng
         self.sizes = sizes or Sizes()
+        self._make_placement = make_placement
         self.bus = peer_bus.PeerBus(network, rng)
         self.store = store.StoreStandIn(f"{STORE_HOST}:80", rng)
         self.replicas: dict[str, replica.ReplicaStandIn] = {}
         self.routers: dict[int, daemon.Daemon] = {}
+        self._ever: set[tuple[str, ...]] = set()
         self._incarnation = 0
         self._next_id = 0
         self._pool: http_client.Pool | None = None
@@ -169,11 +182,12 @@
             f"{host}:80",
             _data_centre(number, self.sizes),
             self._publish,
-            self._send_copy,
+            self._neighbour,
             model=MODEL if engine else "",
             slots=64 if engine else 6,
             **more,
         )
+        standin.share_memory_of(self._ever)
         self.replicas[name] = standin
         await self.as_host(host, standin.start())
         return standin
@@ -185,11 +199,12 @@
         else:
             await self.store.write(key, value)
 
-    def _send_copy(self, address: str, request_id: str) -> None:
-        """Has a replica keep the memory of another one's run."""
+    def _neighbour(self, address: str) -> replica.ReplicaStandIn | None:
+        """Returns the replica at an address, as other replicas reach it."""
         for standin in self.replicas.values():
             if standin.address == address:
-                standin.copies.add(request_id)
+                return standin
+        return None
 
     async def crash_replica(self, name: str) -> None:
         """Kills a replica without a word."""
@@ -220,6 +235,7 @@
             retries=router_settings.RetrySettings(0.2, 54.0, 10.0),
             shutdown=router_settings.ShutdownSettings(8.0),
             fleet_key="0123456789abcdef",
+            streams=router_settings.StreamSettings(self.sizes.keep_copies),
             seeds=tuple(others[:3]),
         )
 
@@ -235,8 +251,11 @@
             clocks.LoopClock(),
             random.Random(self.rng.random()),
             self._incarnation,
-            self.bus.make_peers,
-            self.bus.make_server,
+            daemon.Makers(
+                self.bus.make_peers,
+                self.bus.make_server,
+                self._make_placement,
+            ),
         )
         self.routers[index] = router
         await self.as_host(router_host(index), router.start())
@@ -299,6 +318,7 @@
         status = 0
         found: dict[bytes, bytes] = {}
         whole = False
+        first_byte_s = 0.0
         try:
             conn = await self._pool.acquire(f"{router_host(router)}:80", True)
             head = await conn.request(
@@ -306,12 +326,15 @@
             )
             status, found = head.status, head.headers
             while data := await conn.read():
+                first_byte_s = first_byte_s or loop.time() - began
                 got += data
             whole = True
             conn.close()
         except http_errors.HttpError:
             whole = False
-        return Answer(status, got, found, loop.time() - began, whole)
+        return Answer(
+            status, got, found, loop.time() - began, whole, first_byte_s
+        )
 
     def runs(self, request_id: str = "") -> list[replica.Run]:
         """Returns what the replicas ran, of one request or of all."""
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -8,10 +8,9 @@
 
 from bergamotmill.helpers import http_server
 from bergamotmill.platform import const
+from bergamotmill.standin.platform import engine_model
 
 EVENT = b"id: %d\ndata: t%d\n\n"
-PREFILL_TOKENS_PER_S = 61200.0
-STEP_S = 0.004
 LOAD_S = 0.4
 
 Publish = Callable[[str, dict[str, Any] | None], Awaitable[None]]
@@ -55,6 +54,19 @@
     extra_has_id: bool = True
 
 
+def _nobody(address: str) -> None:
+    """Knows no other replica."""
+    del address
+
+
+def _parts_of(text: str) -> engine_model.Parts:
+    found = []
+    for item in text.split(","):
+        name, _, tokens = item.partition(":")
+        found.append((name, int(tokens)))
+    return tuple(found)
+
+
 class ReplicaStandIn:
     """One replica; an engine when it has a model."""
 
@@ -65,7 +77,7 @@
         address: str,
         data_centre: str,
         publish: Publish,
-        send_copy: Callable[[str, str], None] = lambda to, request: None,
+        neighbour: Callable[[str], "ReplicaStandIn | None"] = _nobody,
         model: str = "",
         weights: int = 1,
         slots: int = 64,
@@ -87,18 +99,24 @@
         self.orders: list[tuple[str, int, int]] = []
         self.refused: list[tuple[float, str, str]] = []
         self._publish = publish
-        self._send_copy = send_copy
+        self._neighbour = neighbour
+        # What any engine has read, to tell what is read again.
+        self._ever: set[tuple[str, ...]] = set()
+        self.stride = 1
         self._work_s = work_s
         self._sequence = 0
         self._running = 0
         self._loading = False
-        self._reading_until = 0.0
-        self._cached: dict[tuple[str, str], int] = {}
+        self.engine = engine_model.EngineModel()
         self._fence = 0
         # Requests of which another engine sent a copy of their memory.
         self.copies: set[str] = set()
         self._server = http_server.HttpServer(listen or address, self._handle)
 
+    def share_memory_of(self, ever: set[tuple[str, ...]]) -> None:
+        """Shares the note of all that was ever read with other engines."""
+        self._ever = ever
+
     async def start(self) -> None:
         """Starts listening and registers."""
         await self._server.start()
@@ -202,9 +220,9 @@
                 return
             run.continued = True
         self.runs.append(run)
-        copy_to = headers.get(const.HEADER_COPY_TO)
-        if copy_to:
-            self._send_copy(copy_to, run.request_id)
+        keeper = self._neighbour(headers.get(const.HEADER_COPY_TO, ""))
+        if keeper is not None:
+            keeper.copies.add(run.request_id)
         self._running += 1
         try:
             if self.model:
@@ -252,18 +270,44 @@
         loop.call_later(self.faults.extra_after_s, exchange.write_raw, text)
 
     async def _generate(self, exchange, run: Run) -> None:
-        tokens, output = self._demand(exchange, run)
-        loop = asyncio.get_running_loop()
-        begin = max(self._reading_until, loop.time())
-        self._reading_until = begin + tokens / PREFILL_TOKENS_PER_S
-        await asyncio.sleep(self._reading_until - loop.time() + STEP_S)
-        if self.faults.mute:
-            await asyncio.sleep(60.0)
+        headers = exchange.request.headers
+        total, output = (
+            int(text) for text in headers[const.HEADER_TOKENS].split(",")
+        )
+        parts = _parts_of(headers[const.HEADER_PARTS])
+        source = self._neighbour(headers.get(const.HEADER_COPY_FROM, ""))
+        if source is not None:
+            tokens = source.engine.held_tokens(run.scope, parts)
+            await asyncio.sleep(self.engine.fetch(run.scope, parts, tokens))
+        work = self.engine.begin(
+            run.scope,
+            parts,
+            total,
+            int(headers.get(const.HEADER_URGENCY, "5")),
+            self._ever.__contains__,
+        )
+        exchange.on_close(work.read.set)
+        exchange.on_close(work.turn.set)
+        try:
+            await work.read.wait()
+            self._ever.update(engine_model.keys_of(run.scope, parts))
+            if self.faults.mute:
+                await asyncio.sleep(60.0)
+            await self._events(exchange, run, work, output)
+        finally:
+            self.engine.end(work)
+
+    async def _events(self, exchange, run: Run, work, output: int) -> None:
+        """Writes an event for each few tokens, as they are made."""
         if exchange.disconnected:
             run.ended = "left"
             return
         exchange.start(200, self._receipt(exchange))
         for number in range(run.resumed_after + 1, output + 1):
+            made = (number - run.resumed_after - 1) * self.stride + 1
+            while work.made < made and not exchange.disconnected:
+                work.turn.clear()
+                await work.turn.wait()
             if exchange.disconnected:
                 run.ended = "left"
                 return
@@ -275,25 +319,9 @@
                 return
             exchange.write(EVENT % (number, number))
             await exchange.drain()
-            await asyncio.sleep(STEP_S)
         exchange.finish()
         run.ended = "ok"
 
-    def _demand(self, exchange, run: Run) -> tuple[int, int]:
-        """Returns the tokens to read and to write; caches the prompt."""
-        headers = exchange.request.headers
-        total, output = headers[const.HEADER_TOKENS].split(",")
-        held = 0
-        all_held = True
-        for part in headers[const.HEADER_PARTS].split(","):
-            name, _, tokens = part.partition(":")
-            key = (run.scope, name)
-            all_held = all_held and key in self._cached
-            if all_held:
-                held += int(tokens)
-            self._cached[key] = int(tokens)
-        return max(0, int(total) - held), int(output)
-
     def _account(self, exchange) -> None:
         models = [{"name": self.model, "version": self.weights}]
         exchange.respond_json(
@@ -327,6 +355,6 @@
             await asyncio.sleep(0.01)
         await asyncio.sleep(LOAD_S)
         self.weights = body["version"]
-        self._cached.clear()
+        self.engine.clear()
         self._loading = False
         await self.report()
--- a/tests/dispatch/test_calls.py
+++ b/tests/dispatch/test_calls.py
@@ -195,7 +195,7 @@
             self.assertTrue(again.continued)
             self.assertGreater(again.resumed_after, 0)
 
-        self.run_fleet(scenario, engines=4, data_centres=1)
+        self.run_fleet(scenario, engines=4, data_centres=1, keep_copies=True)
 
     def test_an_engine_that_goes_dark_counts_as_lost(self):
         async def scenario():
@@ -211,7 +211,7 @@
             answer = await task
             self.assert_stream(answer, 400)
 
-        self.run_fleet(scenario, engines=4, data_centres=1)
+        self.run_fleet(scenario, engines=4, data_centres=1, keep_copies=True)
 
     def test_a_stream_whose_engine_lives_never_goes_on_elsewhere(self):
         async def scenario():
@@ -221,7 +221,7 @@
             self.assertFalse(answer.whole)
             self.assertEqual(len(self.fleet.runs()), 1)
 
-        self.run_fleet(scenario, engines=4, data_centres=1)
+        self.run_fleet(scenario, engines=4, data_centres=1, keep_copies=True)
 
     def _place_of(self, wanted):
         for name, item in self.fleet.replicas.items():
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -163,6 +163,42 @@
 
         self.run_fleet(scenario)
 
+    def test_a_started_router_learns_from_peers_when_weights_were_named(self):
+        async def scenario():
+            began = self.now()
+            for item in self.fleet.replicas.values():
+                item.faults.order_delay_s = 60.0
+            await self.name(2)
+            await asyncio.sleep(2.0)
+            await self.name(3)
+            await asyncio.sleep(3.5)
+            await self.fleet.crash_router(0)
+            router = await self.fleet.start_router(0)
+            await asyncio.sleep(1.0)
+            # It never saw version 2 named, and version 3 only in the store.
+            for version, named_at in ((1, began), (2, began + 2.0)):
+                age_s = router.fleet.superseded_s(fleet.MODEL, version)
+                self.assertAlmostEqual(age_s, self.now() - named_at, delta=0.2)
+
+        self.run_fleet(scenario)
+
+    def test_routers_that_all_started_do_not_trust_older_weights_long(self):
+        async def scenario():
+            for item in self.fleet.replicas.values():
+                item.faults.order_delay_s = 60.0
+            await self.name(2)
+            await asyncio.sleep(1.0)
+            for index in list(self.fleet.routers):
+                await self.fleet.crash_router(index)
+            for index in range(3):
+                await self.fleet.start_router(index)
+            await asyncio.sleep(1.9)
+            answer = await self.fleet.call("check")
+            self.assertEqual(answer.status, 503)
+            self.assertIn(b"retry-after", answer.headers)
+
+        self.run_fleet(scenario)
+
     def test_an_order_carried_out_late_does_no_harm(self):
         async def scenario():
             await asyncio.sleep(3.0)
--- a/tests/dispatch/test_documents.py
+++ b/tests/dispatch/test_documents.py
@@ -92,9 +92,7 @@
             await asyncio.sleep(1.0)
             await self.name(2)
             await asyncio.sleep(0.1)
-            self.assertGreater(
-                self.fleet.superseded_s("m", 1), const.UNKNOWN_NAMED_AGE_S
-            )
+            self.assertGreater(self.fleet.superseded_s("m", 1), 4.0)
 
         self.run_feed(scenario)
 
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -1,7 +1,6 @@
 import random
 import unittest
 
-from bergamotmill.dispatch import const
 from bergamotmill.dispatch import messages
 from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import upstreams
@@ -103,9 +102,16 @@
         self.now += 0.5
         self.assertEqual(self.decide().best.source, "10.0.0.0:1")
 
-    def test_an_old_belief_is_not_relied_on(self):
+    def test_what_an_engine_reads_drives_out_what_was_used_before(self):
+        self.known.set_memory("s", 100_000)
         self.learn("e0")
-        self.now += const.KEPT_S + 1
+        self.known.known["e0"].stores(70_000)
+        self.now += 100.0
+        self.assertEqual(self.decide().best.cached_tokens, 5382)
+        self.learn("e0")
+        self.known.known["e0"].stores(70_000)
+        self.assertEqual(self.decide().best.cached_tokens, 5382)
+        self.known.known["e0"].stores(20_000)
         self.assertEqual(self.decide().best.cached_tokens, 0)
 
     def test_parts_read_for_other_weights_do_not_count(self):
