--- a/bergamotmill/standin/platform/engine_model.py
+++ b/bergamotmill/standin/platform/engine_model.py
@@ -39,7 +39,6 @@
     key: tuple[int, int]
     left: int
     behind: int
-    memory: int
     parts: Parts
     scope: str
     read: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -61,7 +60,10 @@
             collections.OrderedDict()
         )
         self._cached_tokens = 0
-        self._used_tokens = 0
+        # Parts of requests that run do not give way.
+        self._in_use: collections.Counter[tuple[str, ...]] = (
+            collections.Counter()
+        )
         self._ever: set[tuple[str, ...]] = set()
         self._waiting: list[Work] = []
         self._running: dict[Work, None] = {}
@@ -127,11 +129,10 @@
             (urgency, next(self._numbers)),
             max(1, total - held),
             min(held, total),
-            total,
             parts,
             scope,
         )
-        self._used_tokens += total
+        self._in_use.update(keys_of(scope, parts))
         heapq.heappush(self._waiting, work)
         if self._task is None:
             self._task = asyncio.create_task(self._run())
@@ -139,7 +140,8 @@
 
     def end(self, work: Work) -> None:
         """Takes a request away, ended or not."""
-        self._used_tokens -= work.memory
+        self._in_use.subtract(keys_of(work.scope, work.parts))
+        self._in_use += collections.Counter()
         self._running.pop(work, None)
         if work in self._waiting:
             self._waiting.remove(work)
@@ -184,10 +186,13 @@
             return
         self._cached[key] = size
         self._cached_tokens += size
-        room = max(0, self.memory_tokens - self._used_tokens)
-        while self._cached_tokens > room and len(self._cached) > 1:
-            _, gone = self._cached.popitem(last=False)
-            self._cached_tokens -= gone
+        if self._cached_tokens <= self.memory_tokens:
+            return
+        for oldest in [item for item in self._cached if item != key]:
+            if oldest not in self._in_use:
+                self._cached_tokens -= self._cached.pop(oldest)
+            if self._cached_tokens <= self.memory_tokens:
+                return
 
 
 def _keys(scope: str, parts: Parts) -> list[tuple[tuple[str, ...], int]]:
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -34,6 +34,11 @@
         late = outlook(wait=0.7, target=0.8 - waited, left=3.2 - waited)
         self.assertIs(waiting.judge(late), REFUSE)
 
+    def test_a_wait_too_short_to_tell_is_none(self):
+        waited = waiting.HOLD_PART * 3.2 - 1e-7
+        late = outlook(wait=0.7, target=0.8 - waited, left=3.2 - waited)
+        self.assertIs(waiting.judge(late), REFUSE)
+
     def test_a_prompt_too_large_to_be_in_time_is_not_starved(self):
         large = outlook(wait=0.08, read=1.2)
         self.assertIs(waiting.judge(large), GO)
