A router's entry outlives the growth of its fleet; readers look every 0.4 s

Change: the granted term decides the period, and a large fleet's entry moves to a longer lease without a gap. test_an_entry_stays_while_the_fleet_becomes_large fails without it.

--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -117,7 +117,7 @@
 # Between two looks at the store; where others are told, each look costs a
 # message to each of them. Changes must be in force within two seconds.
 FOLLOW_PAUSE_S = 0.1
-FOLLOW_PAUSE_TOLD_S = 0.25
+FOLLOW_PAUSE_TOLD_S = 0.4
 # A watch that fails may have been deaf for so long before.
 BLIND_S = 2.0
 FEED_PAUSE_FIRST_S = 0.05
--- a/bergamotmill/dispatch/roster.py
+++ b/bergamotmill/dispatch/roster.py
@@ -28,6 +28,7 @@
         self._is_large = is_large
         self._rng = rng
         self._lease = 0
+        self._term_s = 0.0
         self._written = False
         self._left = False
 
@@ -36,13 +37,21 @@
         while True:
             if not self._left:
                 await self.step()
+            # What was granted decides, whatever the fleet has become since.
             pause = const.ROSTER_RENEW_S
-            if self._is_large():
+            if self._term_s > const.ROSTER_LEASE_S:
                 pause = const.ROSTER_LARGE_RENEW_S
             await asyncio.sleep(pause * self._rng.uniform(0.9, 1.1))
 
     async def step(self) -> None:
         """Renews the lease, or takes a new one and writes the entry."""
+        term_s = const.ROSTER_LEASE_S
+        if self._is_large():
+            term_s = const.ROSTER_LARGE_LEASE_S
+        if self._lease and self._term_s < term_s:
+            # The entry moves to a longer lease; the short one just ends.
+            self._lease = 0
+            self._written = False
         if self._lease:
             renewed = await self._store.renew(self._lease)
             if renewed.is_err():
@@ -52,13 +61,11 @@
                 self._lease = 0
                 self._written = False
         if not self._lease:
-            term = const.ROSTER_LEASE_S
-            if self._is_large():
-                term = const.ROSTER_LARGE_LEASE_S
-            granted = await self._store.grant(term)
+            granted = await self._store.grant(term_s)
             if granted.is_err():
                 return
             self._lease = granted.ok()
+            self._term_s = term_s
         if not self._written or not self._is_listed():
             await self._write()
 
--- /dev/null
+++ b/tests/dispatch/test_roster.py
@@ -0,0 +1,63 @@
+import asyncio
+import random
+import unittest
+
+from bergamotmill.dispatch import roster
+from bergamotmill.storage.memory import coordinator
+from bergamotmill.util import virtual_loop
+
+KEY = "routers/vm-1"
+
+
+class RosterTest(unittest.TestCase):
+    def run_roster(self, scenario):
+        async def main():
+            self.store = coordinator.MemoryStore()
+            self.large = False
+            self.roster = roster.Roster(
+                self.store,
+                KEY,
+                b"entry",
+                lambda: True,
+                lambda: self.large,
+                random.Random(1),
+            )
+            task = asyncio.create_task(self.roster.run())
+            await scenario()
+            task.cancel()
+
+        virtual_loop.run(main())
+
+    async def assert_present_for(self, seconds):
+        for _ in range(int(seconds * 10)):
+            await asyncio.sleep(0.1)
+            found = (await self.store.get(KEY)).unwrap()
+            self.assertIsNotNone(found)
+
+    def test_an_entry_stays_while_the_fleet_becomes_large(self):
+        async def scenario():
+            await self.assert_present_for(5.0)
+            self.large = True
+            await self.assert_present_for(40.0)
+
+        self.run_roster(scenario)
+
+    def test_a_large_fleet_renews_seldom(self):
+        async def scenario():
+            self.large = True
+            await self.assert_present_for(40.0)
+            self.assertLess(self.store.writes, 16)
+
+        self.run_roster(scenario)
+
+    def test_one_that_leaves_is_gone_at_once(self):
+        async def scenario():
+            await asyncio.sleep(1.0)
+            await self.roster.leave()
+            self.assertIsNone((await self.store.get(KEY)).unwrap())
+
+        self.run_roster(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
