A router that ends never takes the lease of orders again

Change: closing ends the loop, and what was taken meanwhile is given up. Ruled out: the handover itself (it was written and read). test_a_holder_that_ends_never_takes_the_lease_again fails without it.

--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -223,6 +223,7 @@
         self._wake = asyncio.Event()
         self._free = asyncio.Event()
         self._held = False
+        self._closing = False
         self._last_orders: dict[str, float] = {}
         self._handover: tuple[Handover, float] | None = None
         self._previous_fencing = 0
@@ -231,7 +232,7 @@
     @property
     def holding(self) -> bool:
         """Whether this router gives the orders."""
-        return self._holder.time_left() > 0
+        return not self._closing and self._holder.time_left() > 0
 
     def lease_changed(self, revision: int, held: bool) -> None:
         """Takes note of who holds the lease, as the store shows it."""
@@ -248,10 +249,14 @@
             self._handover = (found, self._clock.boottime())
 
     async def run_lease(self) -> None:
-        """Keeps the lease for ever."""
-        while True:
+        """Keeps the lease until this router ends."""
+        while not self._closing:
             if self._held or self._may_take():
                 held = await self._holder.keep()
+                if self._closing:
+                    # It was taken while this router gave it up.
+                    await self._holder.release()
+                    return
                 if held != self._held:
                     decisions.record(
                         "lease", held=held, fencing=self._holder.fencing
@@ -407,9 +412,11 @@
         )
 
     async def close(self) -> None:
-        """Stops orders under way and gives up the lease."""
+        """Stops orders under way and gives up the lease for good."""
+        held = self.holding
+        self._closing = True
         await self._tasks.close()
-        if self.holding:
+        if held:
             now = self._clock.boottime()
             ages = {name: now - at for name, at in self._last_orders.items()}
             handover = Handover(self._holder.fencing, ages)
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -239,6 +239,24 @@
         ]
         return found
 
+    def test_a_holder_that_ends_never_takes_the_lease_again(self):
+        async def scenario():
+            await asyncio.sleep(3.0)
+            router = self.fleet.routers[0]
+            self.assertTrue(router.rollout.holding)
+            stopping = asyncio.create_task(self.fleet.stop_router(0))
+            await asyncio.sleep(0.2)
+            await self.name(2)
+            for _ in range(35):
+                await asyncio.sleep(0.1)
+                self.assertFalse(router.rollout.holding)
+                value = router.feed.value(const.KEY_HOLDER)
+                self.assertTrue(value is None or value.value is None)
+            await stopping
+            self.assertEqual(self.held(), [1, 1, 1])
+
+        self.run_fleet(scenario, routers=1)
+
     def test_a_holder_that_dies_is_followed_after_its_lease(self):
         async def scenario():
             await asyncio.sleep(3.0)
