--- a/bergamotmill/bench/process_soak/__init__.py
+++ b/bergamotmill/bench/process_soak/__init__.py
@@ -29,6 +29,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="run so many")
     parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    parser.add_argument(
+        "--each",
+        action="store_true",
+        help="every fault once, whatever --seconds says",
+    )
     parser.add_argument("--routers", type=int, default=DEFAULT_ROUTERS)
     parser.add_argument("--callers", type=int, default=DEFAULT_CALLERS)
     parser.add_argument("--engines", type=int, default=4)
@@ -100,7 +105,10 @@
         tasks.spawn(callers.probe())
         tasks.spawn(_watch(fleet))
         if await _serves(fleet):
-            await faults.series(fleet, rng, arguments.seconds)
+            if arguments.each:
+                await faults.each_once(fleet, rng)
+            else:
+                await faults.series(fleet, rng, arguments.seconds)
             await _recovers(fleet)
         else:
             fleet.seen.ends.append("nothing was served at the start")
--- a/bergamotmill/bench/process_soak/faults.py
+++ b/bergamotmill/bench/process_soak/faults.py
@@ -254,3 +254,11 @@
                 fault = FAULTS.get(rng.choice(names))
                 group.create_task(fault(fleet, rng))
             await asyncio.sleep(rng.uniform(0.2, 2.0))
+
+
+async def each_once(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
+    """Starts every fault once, close together; waits until all have ended."""
+    async with asyncio.TaskGroup() as group:
+        for name in FAULTS.names():
+            group.create_task(FAULTS.get(name)(fleet, rng))
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -266,6 +266,10 @@
                 return standin
         return None
 
+    def now(self) -> float:
+        """Returns the time on the clock of all observations."""
+        return time.monotonic()
+
     async def remove_entry(self, name: str) -> None:
         """Takes a replica's entry away, as its end does in time."""
         await self._publish(name, None)
--- a/bergamotmill/cli/report.py
+++ b/bergamotmill/cli/report.py
@@ -132,6 +132,7 @@
 
     def __init__(self, series: Series):
         self._series = series
+        self._colours: Any = None
 
     def html(self) -> str:
         """Returns the whole page."""
@@ -180,6 +181,8 @@
         matplotlib.use("svg")
         from matplotlib import pyplot
 
+        # Enough colours for all reasons there are.
+        self._colours = matplotlib.colormaps["tab20"]
         figure, axes = pyplot.subplots(
             5, 1, figsize=(10, 15), sharex=True, layout="constrained"
         )
@@ -242,6 +245,7 @@
             if name != ANSWERED and counts
         ]
         if names:
+            colours = self._colours
             axis.stackplot(
                 self._times(),
                 [
@@ -249,8 +253,9 @@
                     for name in names
                 ],
                 labels=names,
+                colors=[colours(index) for index in range(len(names))],
             )
-            axis.legend()
+            axis.legend(loc="upper left", bbox_to_anchor=(1.0, 1.0))
         axis.set_ylabel("a second")
         axis.set_title("not served, by reason")
 
--- a/bergamotmill/standin/platform/engine_model.py
+++ b/bergamotmill/standin/platform/engine_model.py
@@ -21,10 +21,30 @@
 ATTENTION_S_PER_PAIR = 3.24e-10
 MOVE_TOKENS_PER_S = 190_000.0
 UNLIMITED = 1 << 60
+# A part counts as read again for so long after its last use.
+REUSE_S = 10.0
 
 Parts = tuple[tuple[str, int], ...]
 
 
+class Uses:
+    """When parts were last used at any engine."""
+
+    def __init__(self):
+        self._at: dict[tuple[str, ...], float] = {}
+
+    def note(self, keys: list[tuple[str, ...]]) -> None:
+        """Notes a use of some parts."""
+        now = asyncio.get_running_loop().time()
+        for key in keys:
+            self._at[key] = now
+
+    def lately(self, key: tuple[str, ...]) -> bool:
+        """Whether a part was used so lately that reading it is a loss."""
+        at = self._at.get(key, float("-inf"))
+        return asyncio.get_running_loop().time() - at <= REUSE_S
+
+
 @dataclasses.dataclass(eq=False)
 class Work:
     """One request at an engine.
@@ -64,7 +84,6 @@
         self._in_use: collections.Counter[tuple[str, ...]] = (
             collections.Counter()
         )
-        self._ever: set[tuple[str, ...]] = set()
         self._waiting: list[Work] = []
         self._running: dict[Work, None] = {}
         self._numbers = itertools.count()
@@ -117,7 +136,7 @@
             parts: names and tokens of the prompt's parts.
             total: tokens of the prompt.
             urgency: the rank, 0 first.
-            known: whether a part has been read by any engine.
+            known: whether a part was lately read by any engine.
         """
         held = self.held_tokens(scope, parts)
         seen = 0
--- a/bergamotmill/standin/platform/fleet.py
+++ b/bergamotmill/standin/platform/fleet.py
@@ -16,6 +16,7 @@
 from bergamotmill.platform import dialect
 from bergamotmill.platform import store as platform_store
 from bergamotmill.standin import peer_bus
+from bergamotmill.standin.platform import engine_model
 from bergamotmill.standin.platform import replica
 from bergamotmill.standin.platform import store
 from bergamotmill.util import clock as clocks
@@ -146,7 +147,7 @@
         self.store = store.StoreStandIn(f"{STORE_HOST}:80", rng)
         self.replicas: dict[str, replica.ReplicaStandIn] = {}
         self.routers: dict[int, daemon.Daemon] = {}
-        self._ever: set[tuple[str, ...]] = set()
+        self._uses = engine_model.Uses()
         self._incarnation = 0
         self._next_id = 0
         self._pool: http_client.Pool | None = None
@@ -187,7 +188,7 @@
             slots=64 if engine else 6,
             **more,
         )
-        standin.share_memory_of(self._ever)
+        standin.share_uses(self._uses)
         self.replicas[name] = standin
         await self.as_host(host, standin.start())
         return standin
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -100,8 +100,7 @@
         self.refused: list[tuple[float, str, str]] = []
         self._publish = publish
         self._neighbour = neighbour
-        # What any engine has read, to tell what is read again.
-        self._ever: set[tuple[str, ...]] = set()
+        self._uses = engine_model.Uses()
         self.stride = 1
         self._work_s = work_s
         self._sequence = 0
@@ -113,9 +112,9 @@
         self.copies: set[str] = set()
         self._server = http_server.HttpServer(listen or address, self._handle)
 
-    def share_memory_of(self, ever: set[tuple[str, ...]]) -> None:
-        """Shares the note of all that was ever read with other engines."""
-        self._ever = ever
+    def share_uses(self, uses: engine_model.Uses) -> None:
+        """Shares the note of what was read lately with other engines."""
+        self._uses = uses
 
     async def start(self) -> None:
         """Starts listening and registers."""
@@ -284,13 +283,13 @@
             parts,
             total,
             int(headers.get(const.HEADER_URGENCY, "5")),
-            self._ever.__contains__,
+            self._uses.lately,
         )
         exchange.on_close(work.read.set)
         exchange.on_close(work.turn.set)
         try:
             await work.read.wait()
-            self._ever.update(engine_model.keys_of(run.scope, parts))
+            self._uses.note(engine_model.keys_of(run.scope, parts))
             if self.faults.mute:
                 await asyncio.sleep(60.0)
             await self._events(exchange, run, work, output)
--- a/tests/bench/test_process_soak.py
+++ b/tests/bench/test_process_soak.py
@@ -161,11 +161,11 @@
 
 
 class ProcessTest(unittest.TestCase):
-    def test_a_short_run_over_real_processes(self):
+    def test_a_run_with_every_fault_over_real_processes(self):
         parser = argparse.ArgumentParser()
         process_soak.add_arguments(parser)
         arguments = parser.parse_args(
-            ["--seed", "3", "--seconds", "3", "--routers", "3"]
+            ["--seed", "3", "--each", "--routers", "3"]
         )
         arguments.json = True
         found = process_soak.run(arguments)
