--- a/bergamotmill/bench/process_soak/faults.py
+++ b/bergamotmill/bench/process_soak/faults.py
@@ -66,19 +66,39 @@
     if time.monotonic() - router.started_at < START_S:
         allowed.add(-signal.SIGTERM)
     router.send(signal.SIGTERM)
+    began = fleet.now()
     try:
         async with asyncio.timeout(const.GRACE_S):
-            status = await process.wait()
+            await process.wait()
     except TimeoutError:
+        # A process that another fault stopped meanwhile has that much longer.
+        await _wait_paused(fleet, router, process, began)
+    status = process.returncode
+    if status is None:
         fleet.seen.ends.append(f"{router.name} did not end in time")
         router.send(signal.SIGKILL)
         await process.wait()
-    else:
-        if status not in allowed:
-            fleet.seen.ends.append(f"{router.name} ended with {status}")
+    elif status not in allowed:
+        fleet.seen.ends.append(f"{router.name} ended with {status}")
     await router.start()
 
 
+async def _wait_paused(fleet, router, process, began: float) -> None:
+    """Waits for an end as long as the process was stopped since."""
+    paused_s = sum(
+        item.ended - max(began, item.began)
+        for item in fleet.seen.troubles
+        if item.kind == "pause"
+        and item.target == router.name
+        and item.ended > began
+    )
+    try:
+        async with asyncio.timeout(paused_s):
+            await process.wait()
+    except TimeoutError:
+        return
+
+
 @FAULTS.register("end_in_turn")
 async def end_in_turn(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
     """Asks several routers to end, one after another and overlapping."""
