--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -20,6 +20,7 @@
 from bergamotmill.bench.process_soak import proxy
 from bergamotmill.platform import const as platform_const
 from bergamotmill.standin.platform import fleet as platform_fleet
+from bergamotmill.standin.platform import park
 from bergamotmill.standin.platform import replica
 from bergamotmill.standin.platform import store
 
@@ -131,7 +132,8 @@
         )
         self.engines = engines
         self.services = services
-        self.replicas: dict[str, replica.ReplicaStandIn] = {}
+        self._park = park.Park(self.store)
+        self.replicas = self._park.replicas
         self.proxies: dict[str, proxy.Proxy] = {}
         self.version = 0
         self.configuration: dict[str, Any] = {}
@@ -211,8 +213,8 @@
             "engines" if engine else "registry",
             near.address,
             f"dc-{number % DATA_CENTRES}",
-            self._publish,
-            self._neighbour,
+            self._park.publish,
+            self._park.neighbour,
             model=MODEL if engine else "",
             weights=max(1, self.weights),
             slots=64 if engine else 6,
@@ -220,7 +222,7 @@
             listen=real,
         )
         self.proxies[name] = near
-        self.replicas[name] = standin
+        self._park.add(standin)
         await near.start()
         await standin.start()
         return standin
@@ -252,27 +254,13 @@
         await self.store.write(platform_const.KEY_CONFIGURATION, value)
         self.seen.versions.append((self.version, time.monotonic()))
 
-    async def _publish(self, name: str, value: dict[str, Any] | None) -> None:
-        key = platform_const.PREFIX_REPLICAS + name
-        if value is None:
-            await self.store.remove(key)
-        else:
-            await self.store.write(key, value)
-
-    def _neighbour(self, address: str) -> replica.ReplicaStandIn | None:
-        """Returns the replica at an address, as other replicas reach it."""
-        for standin in self.replicas.values():
-            if standin.address == address:
-                return standin
-        return None
-
     def now(self) -> float:
         """Returns the time on the clock of all observations."""
         return time.monotonic()
 
     async def remove_entry(self, name: str) -> None:
         """Takes a replica's entry away, as its end does in time."""
-        await self._publish(name, None)
+        await self._park.publish(name, None)
 
     async def end_replica(self, name: str, crash: bool) -> None:
         """Ends a replica; a crash is not announced."""
--- a/bergamotmill/standin/platform/fleet.py
+++ b/bergamotmill/standin/platform/fleet.py
@@ -16,7 +16,7 @@
 from bergamotmill.platform import dialect
 from bergamotmill.platform import store as platform_store
 from bergamotmill.standin import peer_bus
-from bergamotmill.standin.platform import engine_model
+from bergamotmill.standin.platform import park
 from bergamotmill.standin.platform import replica
 from bergamotmill.standin.platform import store
 from bergamotmill.util import clock as clocks
@@ -145,9 +145,9 @@
         self._make_placement = make_placement
         self.bus = peer_bus.PeerBus(network, rng)
         self.store = store.StoreStandIn(f"{STORE_HOST}:80", rng)
-        self.replicas: dict[str, replica.ReplicaStandIn] = {}
+        self.park = park.Park(self.store)
+        self.replicas = self.park.replicas
         self.routers: dict[int, daemon.Daemon] = {}
-        self._uses = engine_model.Uses()
         self._incarnation = 0
         self._next_id = 0
         self._pool: http_client.Pool | None = None
@@ -182,31 +182,16 @@
             "engines" if engine else "registry",
             f"{host}:80",
             _data_centre(number, self.sizes),
-            self._publish,
-            self._neighbour,
+            self.park.publish,
+            self.park.neighbour,
             model=MODEL if engine else "",
             slots=64 if engine else 6,
             **more,
         )
-        standin.share_uses(self._uses)
-        self.replicas[name] = standin
+        self.park.add(standin)
         await self.as_host(host, standin.start())
         return standin
 
-    async def _publish(self, name: str, value: dict | None) -> None:
-        key = const.PREFIX_REPLICAS + name
-        if value is None:
-            await self.store.remove(key)
-        else:
-            await self.store.write(key, value)
-
-    def _neighbour(self, address: str) -> replica.ReplicaStandIn | None:
-        """Returns the replica at an address, as other replicas reach it."""
-        for standin in self.replicas.values():
-            if standin.address == address:
-                return standin
-        return None
-
     async def crash_replica(self, name: str) -> None:
         """Kills a replica without a word."""
         standin = self.replicas.pop(name)
