--- a/bergamotmill/bench/parts.py
+++ b/bergamotmill/bench/parts.py
@@ -1,8 +1,9 @@
 """The routers, replicas and requests of a simulation."""
 
+from collections.abc import Mapping
 import dataclasses
 import random
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from bergamotmill import core
 from bergamotmill.bench import workload as workloads
@@ -13,9 +14,6 @@
 from bergamotmill.standin import engine_model
 from bergamotmill.upstream.engine import config
 
-if TYPE_CHECKING:
-    from bergamotmill.bench import simulation as bench_simulation
-
 ROUTERS = 7
 MODEL = "drafter"
 VERSION = "v1"
@@ -60,12 +58,19 @@
         )
 
 
+class World(Protocol):
+    """What the parts see of the simulation that they belong to."""
+
+    workload: workloads.Workload
+    seed: int
+    now: float
+    replicas: Mapping[str, "Replica"]
+
+
 class Router:
     """One router's own view and policy."""
 
-    def __init__(
-        self, simulation: "bench_simulation.Simulation", index: int, policy: str
-    ):
+    def __init__(self, simulation: World, index: int, policy: str):
         self.index = index
         workload = simulation.workload
         self.place = index % workload.data_centres
--- a/bergamotmill/status.py
+++ b/bergamotmill/status.py
@@ -3,26 +3,56 @@
 import asyncio
 from collections.abc import Mapping
 import json
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from bergamotmill import core
+from bergamotmill.control import distribution as release_distribution
+from bergamotmill.control import history as fleet_history
+from bergamotmill.control import membership as fleet_membership
+from bergamotmill.control import orders as engine_orders
 from bergamotmill.control import peers as peer_links
+from bergamotmill.front import gate as front_gate
+from bergamotmill.helpers import metrics as stats
 from bergamotmill.proto import peer_pb2
-
-if TYPE_CHECKING:
-    from bergamotmill import router as bergamotmill_router
+from bergamotmill.routing import view as fleet_view
 
 ASK_TIMEOUT_S = 1.0
 ASKED_AT_ONCE = 64
 HISTORY_SHOWN = 10
 
 
+class Described(Protocol):
+    """The parts of a router that its status is made of."""
+
+    history: fleet_history.History
+    membership: fleet_membership.Membership
+    distribution: release_distribution.Distribution
+    view: fleet_view.FleetView
+    orders: engine_orders.OrderDesk
+    gate: front_gate.Gate
+
+    @property
+    def metrics(self) -> stats.Metrics:
+        """Counters and gauges."""
+
+    @property
+    def incarnation(self) -> int:
+        """This start of the router."""
+
+    @property
+    def restarts(self) -> int:
+        """How often a part had to be started again."""
+
+    def now(self) -> float:
+        """Returns seconds of the monotonic clock."""
+
+
 class Status:
     """Describes one router, and asks the others to describe themselves."""
 
     def __init__(
         self,
-        router: "bergamotmill_router.Router",
+        router: Described,
         name: str,
         data_centre: str,
         peers: peer_links.PeerLinks,
