Stand-in of replicas: silence ends when the caller leaves, loading holds no connection

It had been told to be silent to a request and went on with that for a minute after its caller had left, so that an order in mode hold never ended; and it answered no report on the connection that had brought an order.

--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -9,9 +9,11 @@
 from bergamotmill.helpers import http_server
 from bergamotmill.platform import const
 from bergamotmill.standin.platform import engine_model
+from bergamotmill.util import tasks as background
 
 EVENT = b"id: %d\ndata: t%d\n\n"
 LOAD_S = 0.4
+MUTE_S = 60.0
 
 Publish = Callable[[str, dict[str, Any] | None], Awaitable[None]]
 
@@ -108,6 +110,7 @@
         self._loading = False
         self.engine = engine_model.EngineModel()
         self._fence = 0
+        self._tasks = background.Tasks()
         # Requests of which another engine sent a copy of their memory.
         self.copies: set[str] = set()
         self._server = http_server.HttpServer(listen or address, self._handle)
@@ -123,6 +126,7 @@
 
     async def close(self) -> None:
         """Stops listening."""
+        await self._tasks.close()
         await self._server.close()
 
     async def report(self) -> None:
@@ -242,7 +246,7 @@
     async def _work(self, exchange, run: Run) -> None:
         await asyncio.sleep(self._work_s)
         if self.faults.mute:
-            await asyncio.sleep(60.0)
+            await self._say_nothing(exchange)
         if self.faults.lose_answers:
             run.ended = "lost"
             exchange.abort()
@@ -268,6 +272,16 @@
         loop = asyncio.get_running_loop()
         loop.call_later(self.faults.extra_after_s, exchange.write_raw, text)
 
+    async def _say_nothing(self, exchange) -> None:
+        """Is silent until the caller leaves, for a minute at most."""
+        left = asyncio.Event()
+        exchange.on_close(left.set)
+        try:
+            async with asyncio.timeout(MUTE_S):
+                await left.wait()
+        except TimeoutError:
+            return
+
     async def _generate(self, exchange, run: Run) -> None:
         headers = exchange.request.headers
         total, output = (
@@ -291,7 +305,7 @@
             await work.read.wait()
             self._uses.note(engine_model.keys_of(run.scope, parts))
             if self.faults.mute:
-                await asyncio.sleep(60.0)
+                await self._say_nothing(exchange)
             await self._events(exchange, run, work, output)
         finally:
             self.engine.end(work)
@@ -350,10 +364,15 @@
             exchange.abort()
         else:
             exchange.respond(202)
+        # The connection is free for other calls meanwhile.
+        self._tasks.spawn(self._load(body["version"]))
+
+    async def _load(self, version: int) -> None:
+        """Lets requests end, then loads."""
         while self._running:
             await asyncio.sleep(0.01)
         await asyncio.sleep(LOAD_S)
-        self.weights = body["version"]
+        self.weights = version
         self.engine.clear()
         self._loading = False
         await self.report()
