--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -95,11 +95,8 @@
 
     async def _start(self) -> None:
         self.write_settings()
-        self.lives += 1
-        self.started_at = time.monotonic()
-        self.expected_end = False
         with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "bergamotmill.platform",
@@ -110,6 +107,10 @@
                     platform_const.SETTINGS_VARIABLE: str(self.path),
                 },
             )
+        self.process = process
+        self.lives += 1
+        self.started_at = time.monotonic()
+        self.expected_end = False
 
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to its process, if there is one."""
