After a lost watch everything is read; small data centres all read the store

Change: the position is given up with the watch, a range is read. The stand-in store can hide a loss of history; test_what_left_the_history_while_nobody_waited_is_read fails without.

Change: up to six routers of a data centre all read; who hears no reader for 1.4 s reads itself. test_in_a_small_data_centre_all_read.

--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -109,11 +109,14 @@
 ROSTER_LARGE_LEASE_S = 12.0
 ROSTER_LARGE_RENEW_S = 4.0
 WATCH_WAIT_S = 15.0
+# In a data centre of up to so many routers all of them read the store.
+ALL_READ_UP_TO = 6
 # A reader tells the routers beside it so often that it is there; without a
-# word for so long they doubt what they know. Who reads is looked at as often.
-READER_PERIOD_S = 0.8
-READER_SILENT_S = 2.6
-READER_CHECK_S = 0.3
+# word for two of them they read the store themselves: changes must be in
+# force within two seconds or more. Who reads is looked at as often.
+READER_PERIOD_S = 0.6
+READER_SILENT_S = 1.4
+READER_CHECK_S = 0.2
 # Between two looks at the store; where others are told, each look costs a
 # message to each of them. Changes must be in force within two seconds.
 FOLLOW_PAUSE_S = 0.1
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -171,8 +171,7 @@
     async def run(self) -> None:
         """Follows the store for ever, while this process is a reader."""
         while True:
-            if self._position != UNREAD and not self._readers.is_reader():
-                self._listen_to_readers()
+            if self._position != UNREAD and self._is_told():
                 await asyncio.sleep(const.READER_CHECK_S)
                 continue
             before = self._revision
@@ -187,10 +186,11 @@
             else:
                 await asyncio.sleep(self._pause.next())
 
-    def _listen_to_readers(self) -> None:
-        """Doubts what is known when no reader was heard for long."""
-        if self._now() - self._heard_at > const.READER_SILENT_S:
-            self._store_failed("no reader was heard")
+    def _is_told(self) -> bool:
+        """Whether readers beside this process tell it what changes."""
+        if self._readers.is_reader():
+            return False
+        return self._now() - self._heard_at <= const.READER_SILENT_S
 
     async def run_heartbeats(self) -> None:
         """Tells those beside a reader that it is there, for ever."""
@@ -225,9 +225,12 @@
             self._revision = max(self._revision, message.revision)
         else:
             self.peer_at(message.sender, message.revision)
-        if message.store_answers and not self._readers.is_reader():
+        if not self._readers.is_reader():
             self._heard_at = self._now()
-            self._store_answered()
+            if message.store_answers:
+                self._store_answered()
+            else:
+                self._store_failed(f"lost to {message.sender}")
         return peer_pb2.PublicationReply()
 
     async def close(self) -> None:
@@ -284,6 +287,9 @@
             self._position = UNREAD
             return True
         self._store_failed(error.reason)
+        # What came while nobody waited may have left the history since: a
+        # waiting call that goes on from here need not notice.
+        self._position = UNREAD
         return False
 
     def _store_answered(self) -> None:
--- a/bergamotmill/dispatch/readers.py
+++ b/bergamotmill/dispatch/readers.py
@@ -32,8 +32,11 @@
         return near | {self._own_name}
 
     def _readers(self) -> list[str]:
+        names = self._names()
+        if len(names) <= const.ALL_READ_UP_TO:
+            return sorted(names)
         return rendezvous.top(
-            ORDER_KEY, self._names(), control_const.READERS_PER_DATA_CENTRE
+            ORDER_KEY, names, control_const.READERS_PER_DATA_CENTRE
         )
 
     def is_reader(self) -> bool:
--- a/bergamotmill/standin/platform/store.py
+++ b/bergamotmill/standin/platform/store.py
@@ -32,6 +32,8 @@
         memory: what the operators and the replicas write to directly.
         mode: how calls are answered.
         lost_share: part of the writes whose answer is lost.
+        hides_lost_history: a waiting call from before a loss of history
+            just waits.
         calls: calls by path.
     """
 
@@ -39,6 +41,7 @@
         self.memory = coordinator.MemoryStore()
         self.mode = Mode.SERVING
         self.lost_share = 0.0
+        self.hides_lost_history = False
         self.calls: dict[str, int] = {}
         self._rng = rng
         self._server = http_server.HttpServer(address, self._handle)
@@ -121,9 +124,12 @@
 
     async def _watch(self, exchange: http_server.Exchange) -> None:
         query = exchange.request.query
+        after = int(query["after"])
+        if self.hides_lost_history:
+            after = max(after, self.memory.compacted)
         found = await self.memory.changes(
             query.get("prefix", ""),
-            int(query["after"]),
+            after,
             int(query["waitMs"]) / 1000.0,
         )
         if self.mode is not Mode.SERVING:
--- a/bergamotmill/storage/memory/coordinator.py
+++ b/bergamotmill/storage/memory/coordinator.py
@@ -44,6 +44,11 @@
         """The revision of the latest change."""
         return self._revision
 
+    @property
+    def compacted(self) -> int:
+        """The revision up to which the history of changes is gone."""
+        return self._compacted
+
     async def start(self) -> None:
         """Nothing to prepare."""
 
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -66,6 +66,20 @@
 
         self.run_fleet(scenario)
 
+    def test_what_left_the_history_while_nobody_waited_is_read(self):
+        async def scenario():
+            store = self.fleet.store
+            store.hides_lost_history = True
+            store.mode = Mode.RESET
+            await asyncio.sleep(15.0)
+            await self.configure(2)
+            store.memory.compact()
+            store.mode = Mode.SERVING
+            await asyncio.sleep(2.0)
+            self.assertEqual(self.versions(), [2, 2, 2])
+
+        self.run_fleet(scenario)
+
     def test_a_process_without_a_configuration_says_come_back(self):
         async def scenario():
             for index in range(3):
--- a/tests/dispatch/test_readers.py
+++ b/tests/dispatch/test_readers.py
@@ -8,7 +8,7 @@
 from bergamotmill.standin.platform import store as store_standin
 from tests import platform_case
 
-ROUTERS = 10
+ROUTERS = 16
 
 
 class ReadersTest(platform_case.PlatformCase):
@@ -60,6 +60,23 @@
 
         self.run_large(scenario)
 
+    def test_in_a_small_data_centre_all_read(self):
+        async def scenario():
+            await asyncio.sleep(4.0)
+            self.assertEqual(len(self.readers()), 7)
+
+        self.run_fleet(scenario, routers=7)
+
+    def test_a_change_is_in_force_in_time_though_all_readers_died(self):
+        async def scenario():
+            for index in self.readers():
+                await self.fleet.crash_router(index)
+            await self.configure(2)
+            await asyncio.sleep(2.0)
+            self.assertEqual(self.versions(), {2})
+
+        self.run_large(scenario)
+
     def test_the_next_ones_read_when_readers_die(self):
         async def scenario():
             for index in self.readers()[:3]:
