--- a/bergamotmill/bench/workload.py
+++ b/bergamotmill/bench/workload.py
@@ -1,7 +1,7 @@
 """Workloads of the two deployments, drawn from a seed.
 
 Prompts are nested: a customer's rules, a publication or sector below them, a
-dossier or profile below that, and the request's own question. Popularity is
+file or profile below that, and the request's own question. Popularity is
 skewed at each level.
 """
 
