Logs: failed calls to the store; gauge of the wait for the store

Renewals of registrations that timed out left no line at all.

Change: a line store_call_failed for each failed call, with its path and duration, and the gauge store_call_wait_seconds. A watch without an answer now shows as a gauge that grows past its wait, one that returns as a saw-tooth, and a reader that stands still as 0.

No behaviour changes.

--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -340,6 +340,7 @@
             "configuration_version": float(self.fleet.catalog.version),
             "documents_age_seconds": self.feed.staleness_s(),
             "store_answers": float(self.feed.store_ok),
+            "store_call_wait_seconds": self.feed.call_wait_s(),
             "routers_alive": float(len(self.membership.alive())),
             "upstreams_known": float(len(self.fleet.upstreams.by_name)),
             "requests_waiting": float(self.dispatcher.held_count),
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -148,6 +148,8 @@
         self._documents: dict[str, Document] = {}
         self._listeners: list[Listener] = []
         self._ages: WeightsAges | None = None
+        # When the present call to the store was sent; None between calls.
+        self._called_at: float | None = None
         # Revision after which the next watch starts.
         self._watch_revision = NEEDS_SNAPSHOT
         # Highest revision seen, from the store or from peers.
@@ -221,6 +223,13 @@
         """Returns seconds since the documents were last known to be current."""
         return self._now() - self._confirmed_at
 
+    def call_wait_s(self) -> float:
+        """Returns for how long the present call to the store has waited.
+
+        0 between calls, and in a router that receives publications.
+        """
+        return 0.0 if self._called_at is None else self._now() - self._called_at
+
     def add_listener(self, listener: Listener) -> None:
         """Has the listener called with each change and the change's source.
 
@@ -249,10 +258,12 @@
                 await asyncio.sleep(const.READER_CHECK_PERIOD_S)
                 continue
             after_revision = self._revision
+            self._called_at = self._now()
             if self._watch_revision == NEEDS_SNAPSHOT:
                 done = await self._read_snapshot()
             else:
                 done = await self._watch_once()
+            self._called_at = None
             if done:
                 self._publish(after_revision)
                 # The next call returns the changes made during this delay.
--- a/bergamotmill/platform/store.py
+++ b/bergamotmill/platform/store.py
@@ -7,6 +7,7 @@
 era match nothing.
 """
 
+import asyncio
 import base64
 from collections.abc import AsyncIterator, Callable
 import dataclasses
@@ -144,6 +145,8 @@
         if query:
             target += "?" + urllib.parse.urlencode(query)
         encoded_body = b"" if body is None else json.dumps(body).encode()
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
         try:
             head, data = await http_client.fetch(
                 self._pool,
@@ -161,6 +164,12 @@
             return result.Ok(_Answer(head.status, era, value))
         except _CALL_ERRORS as err:
             self._pool.close_idle(self._address)
+            decisions.record(
+                "store_call_failed",
+                path=path,
+                detail=repr(err),
+                seconds=round(loop.time() - sent_at, 2),
+            )
             return result.Err(key_value.Unavailable(f"{path}: {err!r}"))
 
     def _note_era(self, text: str) -> int:
