--- a/bergamotmill/standin/platform/store.py
+++ b/bergamotmill/standin/platform/store.py
@@ -14,7 +14,11 @@
 
 
 class Mode(enum.Enum):
-    """How the store answers calls."""
+    """How the store answers calls.
+
+    Calls that wait while the store is silent are never answered, also when it
+    answers new ones again.
+    """
 
     SERVING = "serving"
     BUSY = "busy"
@@ -33,9 +37,10 @@
     Attributes:
         memory: store behind the protocol; operators and replicas write to it
             directly.
-        mode: how calls are answered.
         lost_answer_fraction: fraction of the writes that take effect but get
             no answer.
+        lose_watch_answers: whether the answers of watches are lost while their
+            connections stay open.
         hide_compaction: whether a watch from a revision that has been
             compacted waits for later changes instead of answering 410.
         calls: number of calls by path; a lease id at the end of a path is left
@@ -48,8 +53,11 @@
 
     def __init__(self, address: str, rng: random.Random):
         self.memory = coordinator.MemoryStore(FIRST_LEASE)
-        self.mode = Mode.SERVING
+        self._mode = Mode.SERVING
+        # Number of times that the store fell silent.
+        self._silences = 0
         self.lost_answer_fraction = 0.0
+        self.lose_watch_answers = False
         self.hide_compaction = False
         self.calls: dict[str, int] = {}
         self.era = 0
@@ -57,6 +65,17 @@
         self._rng = rng
         self._server = http_server.HttpServer(address, self._handle)
 
+    @property
+    def mode(self) -> Mode:
+        """How calls are answered."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: Mode) -> None:
+        if mode is Mode.SILENT:
+            self._silences += 1
+        self._mode = mode
+
     async def start(self) -> None:
         """Starts listening."""
         await self._server.start()
@@ -99,11 +118,14 @@
             exchange.abort()
             return
         if self.mode is Mode.SILENT:
-            await asyncio.sleep(SILENT_MODE_DELAY_S)
-            exchange.abort()
+            await self._stay_silent(exchange)
             return
         await self._dispatch(exchange)
 
+    async def _stay_silent(self, exchange: http_server.Exchange) -> None:
+        await asyncio.sleep(SILENT_MODE_DELAY_S)
+        exchange.abort()
+
     async def _dispatch(self, exchange: http_server.Exchange) -> None:
         request = exchange.request
         path = request.path
@@ -155,11 +177,15 @@
         after = int(query["after"])
         if self.hide_compaction:
             after = max(after, self.memory.compacted_revision)
+        silences = self._silences
         answer = await self.memory.changes(
             query.get("prefix", ""),
             after,
             int(query["waitMs"]) / 1000.0,
         )
+        if self.lose_watch_answers or self._silences != silences:
+            await self._stay_silent(exchange)
+            return
         if self.mode is not Mode.SERVING:
             exchange.abort()
             return
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,34 @@
+import functools
+import unittest
+
+from tests import known_red
+
+LISTED = "tests.a.test_b.Case.test_listed"
+
+
+def _fail():
+    raise AssertionError
+
+
+class KnownRedTest(unittest.TestCase):
+    def judge(self, *names):
+        outcome = unittest.TestResult()
+        for name in names:
+            case = unittest.FunctionTestCase(_fail)
+            case.id = functools.partial(str, name)
+            case.run(outcome)
+        text = f"- known failure: {LISTED}\n  command: x\n- test: tests.c\n"
+        return known_red.judge(outcome, known_red.parse(text))
+
+    def test_only_the_listed_test_is_passed_over(self):
+        verdict = self.judge(LISTED, LISTED + "_too", "tests.c")
+        self.assertEqual(verdict.known, (LISTED,))
+        self.assertEqual(verdict.failed, (LISTED + "_too", "tests.c"))
+        self.assertEqual(verdict.passed, 0)
+
+    def test_an_entry_names_a_whole_test(self):
+        self.assertEqual(known_red.parse("- known failure: tests.a b\n"), set())
+
+
+if __name__ == "__main__":
+    unittest.main()
