Store: no read stays open without a sign of life

Callers saw replaced configurations (CONFIG), routes and keys refused that had been added (DENIED) and requests at leaving replicas (DRAIN), for up to 17 s after the store had been silent, on all routers at once.

Cause: the watch of the store was one call that could wait for 15 s, with a time limit of 17 s. A store that falls silent never answers the watches that are open, also when it answers new calls; a lost response does the same. Only that limit ended the watch, and until then the router took the store for answering: store_answers was 1, unknown keys got 401, and the lease, whose key's removal the watch reports, was not applied for.

Change: a watch waits for 1.5 s, and its call ends 1 s later. Documents older than 2.5 s count as outdated: what they do not know gets 503 with Retry-After. The same cause in data centres with publishing readers: a reader cut off from the store went on to publish that the store answers, so nobody took over. It now watches for 0.6 s and reports an overdue call at once. Changes missed count from the last confirmation, not from 2 s before the failure.

--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -152,7 +152,15 @@
 LARGE_FLEET_ROUTERS = 16
 REGISTRATION_LARGE_FLEET_LEASE_S = 12.0
 REGISTRATION_LARGE_FLEET_RENEW_S = 4.0
-WATCH_WAIT_S = 15.0
+# A watch that is never answered delays changes by its wait and the time limit
+# of the call, which must stay within the three seconds in which a router has
+# to be up to date after an outage of the store.
+WATCH_WAIT_S = 1.5
+# The same for a reader on which the other routers of its data centre rely: they
+# have to learn within two seconds that it no longer receives answers.
+WATCH_WAIT_PUBLISHING_S = 0.6
+# A call to the store is overdue this long after the time that it may wait.
+STORE_OVERDUE_S = 0.4
 # In a data centre of up to this many routers, all of them read the store.
 ALL_READERS_MAX_ROUTERS = 6
 # Readers send heartbeats to the other routers of their data centre, which read
@@ -166,13 +174,16 @@
 # How often a router that is not a reader checks this timeout, and whether it
 # has become a reader.
 READER_CHECK_PERIOD_S = 0.2
-# Pause of a reader between two calls to the store. It is longer where the
-# reader publishes changes, as each call then costs a message to each receiver,
-# but still lets changes come into force within two seconds.
+# Pause of a reader after a call to the store that returned changes. It is
+# longer where the reader publishes changes, as each call then costs a message
+# to each receiver, but still lets changes come into force within two seconds.
 WATCH_PAUSE_S = 0.1
 WATCH_PAUSE_PUBLISHING_S = 0.4
 # A watch may have delivered nothing for this time before it fails.
 WATCH_STALE_S = 2.0
+# Documents that have not been confirmed for this time may be out of date:
+# longer than a watch that works, and its pause, take.
+DOCUMENTS_STALE_S = 2.5
 FEED_BACKOFF_MIN_S = 0.05
 FEED_BACKOFF_MAX_S = 0.5
 # A gap of at least MIN_SUSPENSION_S between two ticks shows that the process
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -1,6 +1,7 @@
 """Keeps a local copy of the documents in the platform's store.
 
-One long-polling watch covers all keys. Only a few routers of each data centre,
+A watch covers all keys. It is a series of short calls, as a call that the store
+has lost stays open and says nothing. Only a few routers of each data centre,
 the store readers, call the store; they publish changes to the other routers
 of the data centre, so that the load on the store does not grow with the fleet.
 A document is only ever replaced by one with a higher revision, or with a higher
@@ -93,8 +94,11 @@
     def publish_targets(self) -> Sequence[str]:
         """Returns the routers to which a reader publishes changes."""
 
+    def watch_wait_s(self) -> float:
+        """Returns how long a watch of the store may wait for changes."""
+
     def poll_interval_s(self) -> float:
-        """Returns the delay before a reader's next call to the store."""
+        """Returns the delay after a call to the store that returned changes."""
 
 
 class DocumentFeed:
@@ -150,6 +154,8 @@
         self._ages: WeightsAges | None = None
         # When the present call to the store was sent; None between calls.
         self._called_at: float | None = None
+        # Whether the store should have answered that call by now.
+        self._overdue = False
         # Revision after which the next watch starts.
         self._watch_revision = NEEDS_SNAPSHOT
         # Highest revision seen, from the store or from peers.
@@ -258,24 +264,48 @@
                 await asyncio.sleep(const.READER_CHECK_PERIOD_S)
                 continue
             after_revision = self._revision
-            self._called_at = self._now()
-            if self._watch_revision == NEEDS_SNAPSHOT:
-                done = await self._read_snapshot()
-            else:
-                done = await self._watch_once()
-            self._called_at = None
-            if done:
+            is_watch = self._watch_revision != NEEDS_SNAPSHOT
+            wait_s = self._store_readers.watch_wait_s() if is_watch else 0.0
+            began_at = self._now()
+            if not await self._read_store(is_watch, wait_s):
+                await asyncio.sleep(self._backoff.next_delay())
+                continue
+            if self._revision > after_revision:
                 self._publish(after_revision)
+            if not is_watch or self._now() - began_at < wait_s:
                 # The next call returns the changes made during this delay.
                 await asyncio.sleep(self._store_readers.poll_interval_s())
-            else:
-                await asyncio.sleep(self._backoff.next_delay())
+
+    async def _read_store(self, is_watch: bool, wait_s: float) -> bool:
+        """Reads a snapshot or watches once; False if the call failed."""
+        self._called_at = self._now()
+        timer = asyncio.get_running_loop().call_later(
+            wait_s + const.STORE_OVERDUE_S, self._on_overdue
+        )
+        try:
+            if is_watch:
+                return await self._watch_once(wait_s)
+            return await self._read_snapshot()
+        finally:
+            timer.cancel()
+            self._called_at = None
+            self._overdue = False
+
+    def _on_overdue(self) -> None:
+        """Tells the routers that rely on this one that they should not."""
+        self._overdue = True
+        self._publish(self._revision)
 
     def _receives_publications(self) -> bool:
         """Whether readers of the data centre publish changes to this router."""
         timeout_s = self._store_readers.publication_timeout_s()
         return self._now() - self._last_publication_at <= timeout_s
 
+    def _is_replaced(self) -> bool:
+        """Whether another reader has published answers of the store lately."""
+        since_s = self._now() - self._last_publication_at
+        return since_s <= const.SECOND_READER_TIMEOUT_S
+
     async def run_heartbeats(self) -> None:
         """Publishes regularly while this router is a reader, forever.
 
@@ -292,17 +322,19 @@
     def _publish(self, after_revision: int) -> None:
         """Sends other routers of the data centre what changed after a revision.
 
-        Does nothing if every router of the data centre is a reader.
+        Does nothing if every router of the data centre is a reader, or if this
+        one has no answers from the store and another reader has.
         """
         names = self._store_readers.publish_targets()
-        if not names:
+        store_answers = self._store_ok and not self._overdue
+        if not names or not store_answers and self._is_replaced():
             return
         message = peer_pb2.Publication(
             sender=self._own_name,
             documents=self._documents_after(after_revision),
             after_revision=after_revision,
             revision=self._revision,
-            store_answers=self._store_ok,
+            store_answers=store_answers,
         )
         for name in names:
             self._tasks.spawn(
@@ -324,9 +356,11 @@
         else:
             self.note_peer_revision(message.sender, message.revision)
         is_reader = self._store_readers.is_reader()
-        # A reader takes over from one that cannot reach the store.
         if message.store_answers or not is_reader:
             self._last_publication_at = self._now()
+        elif not self._overdue:
+            # A reader takes over at once from one that cannot reach the store.
+            self._last_publication_at = float("-inf")
         if not is_reader or self._receives_publications():
             if message.store_answers:
                 self._store_answered()
@@ -379,10 +413,10 @@
             before=key_value.format_revision(self._revision),
         )
 
-    async def _watch_once(self) -> bool:
+    async def _watch_once(self, wait_s: float) -> bool:
         """Waits for changes and adopts them; False if the call failed."""
         reading = await self._store.changes(
-            self._prefix, self._watch_revision, const.WATCH_WAIT_S
+            self._prefix, self._watch_revision, wait_s
         )
         if reading.is_err():
             return self._watch_failed(reading)
@@ -429,7 +463,7 @@
 
         A watch may have stopped delivering changes some time before it failed.
         """
-        since = self._now() - const.WATCH_STALE_S
+        since = min(self._now() - const.WATCH_STALE_S, self._confirmed_at)
         self._changes_missed_since = min(self._changes_missed_since, since)
 
     def _store_failed(self, reason: str) -> None:
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -184,8 +184,10 @@
 
     def maybe_outdated(self) -> bool:
         """Whether the configuration is likely to be out of date."""
-        age_s = self._feed.staleness_s()
-        return not self._feed.store_ok and age_s > const.STORE_UNSTABLE_S / 3
+        limit_s = const.DOCUMENTS_STALE_S
+        if not self._feed.store_ok:
+            limit_s = const.STORE_UNSTABLE_S / 3
+        return self._feed.staleness_s() > limit_s
 
     def add_catalog_listener(
         self, listener: Callable[[config.Catalog], None]
--- a/bergamotmill/dispatch/readers.py
+++ b/bergamotmill/dispatch/readers.py
@@ -61,8 +61,14 @@
             return 0.0
         return const.SECOND_READER_TIMEOUT_S
 
+    def watch_wait_s(self) -> float:
+        """Returns how long a watch of the store may wait for changes."""
+        if self.publish_targets():
+            return const.WATCH_WAIT_PUBLISHING_S
+        return const.WATCH_WAIT_S
+
     def poll_interval_s(self) -> float:
-        """Returns the delay before a reader's next call to the store.
+        """Returns the delay after a call to the store that returned changes.
 
         Upstreams update their entries continuously. Without a delay, each
         update would cost a call to the store and a message to each router
--- a/bergamotmill/platform/store.py
+++ b/bergamotmill/platform/store.py
@@ -20,6 +20,7 @@
 import result
 
 from bergamotmill.helpers import decisions
+from bergamotmill.helpers import hedged_fetch
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
 from bergamotmill.platform import const
@@ -133,13 +134,22 @@
         method: str,
         path: str,
         body: dict[str, Any] | None = None,
-        timeout_s: float = const.CALL_TIMEOUT_S,
+        wait_s: float | None = None,
         **query: object,
     ) -> result.Result[_Answer, key_value.Unavailable]:
-        """Sends one request and returns the answer.
+        """Sends one call and returns the answer.
 
         Statuses 429 and 500 and above count as unavailable, as does an answer
         of an earlier era than one seen before; all others are returned.
+
+        Args:
+            method: HTTP method.
+            path: path of the call.
+            body: JSON body.
+            wait_s: how long the store may wait before it answers, for an
+                idempotent call, which is repeated when the answer is overdue;
+                None for calls that must be sent only once.
+            **query: query parameters.
         """
         target = path
         if query:
@@ -148,15 +158,7 @@
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         try:
-            head, data = await http_client.fetch(
-                self._pool,
-                self._address,
-                method,
-                target,
-                headers=_JSON_HEADERS if encoded_body else (),
-                body=encoded_body,
-                timeout_s=timeout_s,
-            )
+            head, data = await self._send(method, target, encoded_body, wait_s)
             era = self._note_era(head.get_header(const.HEADER_STORE_ERA))
             if head.status == 429 or head.status >= 500:
                 raise ValueError(f"status {head.status}")
@@ -172,6 +174,29 @@
             )
             return result.Err(key_value.Unavailable(f"{path}: {err!r}"))
 
+    async def _send(
+        self, method: str, target: str, body: bytes, wait_s: float | None
+    ) -> tuple[http_client.ResponseHead, bytes]:
+        if wait_s is None:
+            return await http_client.fetch(
+                self._pool,
+                self._address,
+                method,
+                target,
+                headers=_JSON_HEADERS if body else (),
+                body=body,
+                timeout_s=const.CALL_TIMEOUT_S,
+            )
+        return await hedged_fetch.fetch(
+            self._pool,
+            self._address,
+            method,
+            target,
+            max(const.CALL_TIMEOUT_S, wait_s + const.WATCH_TIMEOUT_MARGIN_S),
+            wait_s + const.HEDGE_PERIOD_S,
+            const.HEDGE_PERIOD_S,
+        )
+
     def _note_era(self, text: str) -> int:
         """Returns the era of an answer.
 
@@ -192,7 +217,7 @@
         self, key: str
     ) -> result.Result[key_value.Entry | None, key_value.Unavailable]:
         """Reads one key."""
-        response = await self._call("GET", const.PATH_KEY, key=key)
+        response = await self._call("GET", const.PATH_KEY, wait_s=0.0, key=key)
         if response.is_err():
             return response
         answer = response.ok()
@@ -223,7 +248,9 @@
         revision = 0
         query: dict[str, object] = {"prefix": prefix}
         while True:
-            response = await self._call("GET", const.PATH_RANGE, **query)
+            response = await self._call(
+                "GET", const.PATH_RANGE, wait_s=0.0, **query
+            )
             if response.is_err():
                 return response
             answer = response.ok()
@@ -256,7 +283,7 @@
         response = await self._call(
             "GET",
             const.PATH_WATCH,
-            timeout_s=wait_s + const.WATCH_TIMEOUT_MARGIN_S,
+            wait_s=wait_s,
             prefix=prefix,
             after=key_value.number_in_era(after),
             waitMs=int(wait_s * 1000),
@@ -371,7 +398,7 @@
         if held is None:
             return result.Ok(False)
         response = await self._call(
-            "POST", f"{const.PATH_LEASE_RENEW}{held.number}"
+            "POST", f"{const.PATH_LEASE_RENEW}{held.number}", wait_s=0.0
         )
         if response.is_err():
             return response
--- a/tests/dispatch/test_documents.py
+++ b/tests/dispatch/test_documents.py
@@ -33,6 +33,9 @@
     def publication_timeout_s(self):
         return 0.0
 
+    def watch_wait_s(self):
+        return 1.0
+
     def poll_interval_s(self):
         return 0.0
 
--- a/tests/dispatch/test_readers.py
+++ b/tests/dispatch/test_readers.py
@@ -88,6 +88,30 @@
 
         self.run_large_fleet(scenario)
 
+    def test_change_is_in_force_in_time_after_idle_first_readers_lose_the_store(
+        self,
+    ):
+        async def scenario():
+            # By now, only the first readers have a call to the store open.
+            await asyncio.sleep(20.0)
+            version = 1
+            for pause_s in (0.0, 0.1, 0.3, 0.5, 0.7):
+                await asyncio.sleep(pause_s)
+                for index in self.reader_indices():
+                    readers = self.fleet.routers[index].feed._store_readers
+                    if readers.is_first_reader():
+                        self.network.partition(
+                            fleet.router_host(index), fleet.STORE_HOST
+                        )
+                version += 1
+                await self.publish_configuration(version)
+                await asyncio.sleep(2.0)
+                self.assertEqual(self.configuration_versions(), {version})
+                self.network.heal()
+                await asyncio.sleep(10.0)
+
+        self.run_large_fleet(scenario)
+
     def test_change_is_in_force_in_time_after_first_readers_crash(self):
         async def scenario():
             for index in self.reader_indices():
