Responses without an end cost a bounded time and memory

Callers of other services would have lost a router: an upstream that sends bytes until its caller closes could take all of a router's memory or time.

Cause: three places had no bound. Interim responses (1xx) were read for as long as they came, until the deadline of the request; plain bodies were kept up to 16 MB each with no limit on all together; bytes after a complete response were kept while a slow caller took the response.

Change: a request gets at most 8 interim responses, plain bodies in progress 32 MB together (gauge response_bytes_buffered), and bytes after a complete response close the connection. Endless headers, trailers, chunk sizes and events had limits already; the tests now cover them, and the stand-in plays all.

Measured: tests/dispatch/test_endless_responses.py, four tests. Before: a filing with endless interim heads got 504 at its deadline instead of 502 within 0.5 s, 12 endless bodies made the router take in 201,707,520 bytes, and bytes after a response did not close the connection. Now all pass.

--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -344,6 +344,7 @@
             "routers_alive": float(len(self.membership.alive())),
             "upstreams_known": float(len(self.fleet.upstreams.by_name)),
             "requests_waiting": float(self.dispatcher.held_count),
+            "response_bytes_buffered": float(self.dispatcher.buffered_bytes),
             "asks_waiting": float(self._placement_owner.waiting_count),
             "holds_lease": float(self.rollout.holds_lease),
             "child_restarts": float(self._supervisor.restarts),
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -102,9 +102,10 @@
         self._rng = process.rng
         self._tasks = background.Tasks()
         self._admission_queue = waiting.AdmissionQueue(process.rng)
+        self._relay = relay.ResponseRelay(process.metrics, process.now)
         self._attempt_runner = attempt_runner.AttemptRunner(
             link,
-            relay.ResponseRelay(process.metrics, process.now),
+            self._relay,
             fleet.apply_signals,
             process.now,
         )
@@ -114,6 +115,11 @@
         """Number of requests held here until an engine has room."""
         return len(self._admission_queue)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the plain responses that are being received."""
+        return self._relay.buffered_bytes
+
     async def close(self) -> None:
         """Cancels the calls in progress."""
         self._admission_queue.close()
--- a/bergamotmill/dispatch/relay.py
+++ b/bergamotmill/dispatch/relay.py
@@ -10,6 +10,8 @@
 from bergamotmill.upstream import errors
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Bodies that are being received, together. A router has 150 MB of memory.
+MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 _EVENT_ID_FIELD = b"id:"
 
 
@@ -36,6 +38,12 @@
     def __init__(self, metrics: stats.Metrics, now: Callable[[], float]):
         self._metrics = metrics
         self._now = now
+        self._buffered_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the plain bodies that are being received."""
+        return self._buffered_bytes
 
     async def forward(
         self,
@@ -81,13 +89,40 @@
                 "response does not resume the stream",
                 True,
             )
-        body = await _read_body(response)
+        body = await self._read_body(response)
         if head.status >= 500 and may_retry:
             raise errors.UpstreamError(
                 errors.Failure.FAILED, str(head.status), True
             )
         sink.respond(head, body)
 
+    async def _read_body(self, response: ports.UpstreamResponse) -> bytes:
+        """Returns the whole body of a plain response.
+
+        Raises:
+            errors.UpstreamError: the body, or all bodies together, exceed
+                their limit.
+        """
+        chunks = []
+        size_bytes = 0
+        try:
+            while data := await response.read():
+                size_bytes += len(data)
+                self._buffered_bytes += len(data)
+                if (
+                    size_bytes > MAX_BODY_BYTES
+                    or self._buffered_bytes > MAX_BUFFERED_BYTES
+                ):
+                    raise errors.UpstreamError(
+                        errors.Failure.BROKEN,
+                        f"no room for a body of {size_bytes} bytes or more",
+                        True,
+                    )
+                chunks.append(data)
+            return b"".join(chunks)
+        finally:
+            self._buffered_bytes -= size_bytes
+
     async def _stream(
         self,
         progress: call_progress.Progress,
@@ -143,16 +178,3 @@
         raise errors.UpstreamError(
             errors.Failure.BROKEN, f"event {first_id} after {last_id}", True
         )
-
-
-async def _read_body(response: ports.UpstreamResponse) -> bytes:
-    chunks = []
-    size_bytes = 0
-    while data := await response.read():
-        size_bytes += len(data)
-        if size_bytes > MAX_BODY_BYTES:
-            raise errors.UpstreamError(
-                errors.Failure.BROKEN, "response body is too large", True
-            )
-        chunks.append(data)
-    return b"".join(chunks)
--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -14,6 +14,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_HEAD_BYTES = 64 * 1024
+# Interim responses (status 1xx) to one request at most.
+MAX_INTERIM_RESPONSES = 8
 READ_PAUSE_BYTES = 256 * 1024
 IDLE_LIFETIME_S = 15.0
 MAX_IDLE_PER_ADDRESS = 32
@@ -61,6 +63,7 @@
         self._buffered_bytes = 0
         self._reading_paused = False
         self._response_complete = False
+        self._interim_responses = 0
         self._error: http_errors.HttpError | None = None
         self._data_waiter: asyncio.Future[None] | None = None
         self._read_timeout_s = 0.0
@@ -92,11 +95,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser and wakes the reader."""
-        if not self._in_use:
-            # No request is in progress, so this data belongs to no response.
+        if not self._in_use or self._response_complete:
+            # This data belongs to no response. One that is complete but not
+            # read yet stays valid.
             self._fail(
                 http_errors.ProtocolError(
-                    "received data while no request was in progress"
+                    "received data while no response was expected"
                 )
             )
             return
@@ -146,7 +150,12 @@
                 self._response_complete = True
                 break
             elif event_type is h11.InformationalResponse:
-                continue
+                self._interim_responses += 1
+                if self._interim_responses > MAX_INTERIM_RESPONSES:
+                    self._fail(
+                        http_errors.ProtocolError("too many interim responses")
+                    )
+                    return
             else:
                 break
         if self._buffered_bytes > READ_PAUSE_BYTES and not self._reading_paused:
@@ -211,6 +220,7 @@
         """Sends a request and waits for the head of the response."""
         self._head = None
         self._response_complete = False
+        self._interim_responses = 0
         self._request_sent = False
         self._chunks.clear()
         self._buffered_bytes = 0
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -62,6 +62,8 @@
         retry_after_s: value of `Retry-After` in refusals, in seconds; 0 for
             none.
         says_leaving: whether answers say that the replica is leaving.
+        endless: part of an answer that never ends, until the caller
+            disconnects: a key of `ENDLESS_PARTS`; empty for none.
     """
 
     lose_answers: bool = False
@@ -74,6 +76,35 @@
     refuse: bool = False
     retry_after_s: float = 0.0
     says_leaving: bool = False
+    endless: str = ""
+
+
+# Bytes that answers without an end start with, and those that follow. `ID` is
+# replaced by the request's id.
+_PROPER_HEAD = (
+    f"HTTP/1.1 200 OK\r\n{const.HEADER_REQUEST_ID}: ID\r\n"
+    f"{const.HEADER_RESPONSE_SEAL}: x\r\n"
+).encode()
+_FILLER = b"z" * 4096
+ENDLESS_PARTS = {
+    "garbage": (b"", _FILLER),
+    "header": (b"HTTP/1.1 200 OK\r\nx-filler: ", _FILLER),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 500),
+    "interim heads": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+    "body": (_PROPER_HEAD + b"\r\n", _FILLER),
+    "chunks": (
+        _PROPER_HEAD + b"transfer-encoding: chunked\r\n\r\n",
+        b"1000\r\n" + _FILLER + b"\r\n",
+    ),
+    "chunk size": (
+        _PROPER_HEAD + b"transfer-encoding: chunked\r\n\r\n",
+        b"0" * 4096,
+    ),
+    "trailers": (
+        _PROPER_HEAD + b"transfer-encoding: chunked\r\n\r\n0\r\n",
+        b"x: y\r\n" * 500,
+    ),
+}
 
 
 def _no_replica(address: str) -> None:
@@ -106,6 +137,7 @@
         tokens_per_event: output tokens per event of a stream.
         engine: model of compute time and KV memory.
         kv_copies: ids of requests whose KV cache was copied here.
+        endless_bytes_sent: bytes sent of answers that never end.
     """
 
     def __init__(
@@ -150,6 +182,7 @@
         self._fencing_token = 0
         self._tasks = background.Tasks()
         self.kv_copies: set[str] = set()
+        self.endless_bytes_sent = 0
         self._server = http_server.HttpServer(listen or address, self._handle)
 
     def share_recent_uses(self, uses: engine_model.RecentUses) -> None:
@@ -301,6 +334,10 @@
         await asyncio.sleep(self._work_s)
         if self.faults.mute:
             await self._stay_silent(exchange)
+        if self.faults.endless:
+            run.outcome = "endless"
+            await self._write_endlessly(exchange, run)
+            return
         if self.faults.lose_answers:
             run.outcome = "lost"
             exchange.abort()
@@ -326,6 +363,16 @@
         loop = asyncio.get_running_loop()
         loop.call_later(self.faults.extra_after_s, exchange.write_raw, text)
 
+    async def _write_endlessly(self, exchange, run: Run) -> None:
+        start, filler = ENDLESS_PARTS[self.faults.endless]
+        data = start.replace(b"ID", run.request_id.encode()) + filler
+        while not exchange.disconnected:
+            exchange.write_raw(data)
+            data = filler
+            self.endless_bytes_sent += len(filler)
+            await exchange.drain()
+            await asyncio.sleep(0.0001)
+
     async def _stay_silent(self, exchange) -> None:
         """Waits until the caller disconnects, or for `SILENCE_MAX_S`."""
         disconnected = asyncio.Event()
