Soak over processes: lost watch answers, and a configuration after the faults

Cause: the soak switched the store to silent, but its stand-in then answered or reset the watches, and the check of configurations needs a time without faults, in which the soak published none.

--- a/bergamotmill/bench/process_soak/__init__.py
+++ b/bergamotmill/bench/process_soak/__init__.py
@@ -73,8 +73,14 @@
 
 
 async def _check_recovery(fleet: soak_fleet.Fleet) -> None:
-    """Checks that requests are served and weights are current again."""
-    await asyncio.sleep(const.RECOVERY_WAIT_S)
+    """Checks that requests are served and weights are current again.
+
+    A configuration that is published meanwhile has to come into force, which
+    the promises check.
+    """
+    await asyncio.sleep(const.FAULT_SETTLE_S)
+    await fleet.publish_configuration({})
+    await asyncio.sleep(const.RECOVERY_WAIT_S - const.FAULT_SETTLE_S)
     now = time.monotonic()
     recent = [
         item
--- a/bergamotmill/bench/process_soak/faults.py
+++ b/bergamotmill/bench/process_soak/faults.py
@@ -184,12 +184,14 @@
     fleet.observed.record_fault("store", "away", seconds)
     if rng.random() < 0.3:
         fleet.store.lost_answer_fraction = rng.uniform(0.3, 1.0)
+        fleet.store.lose_watch_answers = True
     else:
         modes = [mode for mode in store.Mode if mode is not store.Mode.SERVING]
         fleet.store.mode = rng.choice(modes)
     await asyncio.sleep(seconds)
     fleet.store.mode = store.Mode.SERVING
     fleet.store.lost_answer_fraction = 0.0
+    fleet.store.lose_watch_answers = False
 
 
 @FAULTS.register("history_lost")
