Soak: a connection refused after an exit is not a request that was cut

Cause: the check 'a router that is asked to end cuts nothing' counted each request without a complete answer. Some callers of the soak keep their address until it fails; when the router has exited, their next connection is refused. The platform's rule is about requests that a process has read, so the case is allowed.

Change: a request counts when a connection was open to send it on, which is wider than the rule (it need not have been read). A test for each side.

--- a/bergamotmill/bench/process_soak/observations.py
+++ b/bergamotmill/bench/process_soak/observations.py
@@ -12,6 +12,7 @@
     Attributes:
         timeout_s: time limit of the route, in seconds.
         began: start on the monotonic clock, in seconds.
+        connected: whether a connection was open to send the request on.
         ended: end on the same clock; 0 while the request is in progress.
         status: HTTP status; 0 if the connection failed before an answer.
         complete: whether the answer was read to its end.
@@ -25,6 +26,7 @@
     router: str
     timeout_s: float
     began: float
+    connected: bool = False
     ended: float = 0.0
     status: int = 0
     complete: bool = False
--- a/bergamotmill/bench/process_soak/promises.py
+++ b/bergamotmill/bench/process_soak/promises.py
@@ -217,6 +217,8 @@
         for item in observed.requests
         if item.ended
         and not item.complete
+        # A router that has exited accepts no connection and cuts nothing.
+        and item.connected
         and observed.fault_free(
             item.began - const.FAULT_SETTLE_S, item.ended, ("asked to end",)
         )
--- a/bergamotmill/bench/process_soak/traffic.py
+++ b/bergamotmill/bench/process_soak/traffic.py
@@ -146,6 +146,7 @@
         self, request, method, headers, body, event_count
     ) -> None:
         conn = await self._pool.acquire(request.router)
+        request.connected = True
         try:
             target = f"/{request.route}/x?a=1"
             head = await conn.request(
--- a/tests/bench/test_process_soak.py
+++ b/tests/bench/test_process_soak.py
@@ -16,6 +16,7 @@
         "router": "127.0.0.1:1",
         "timeout_s": 1.5,
         "began": 100.0,
+        "connected": True,
         "ended": 100.2,
         "status": 200,
         "complete": True,
@@ -156,6 +157,17 @@
         self.observed.requests = [request(ended=103.0)]
         self.assert_violated("a final answer comes")
 
+    def test_connection_refused_after_shutdown_is_no_cut(self):
+        self.observed.requests = [
+            request(status=0, complete=False, connected=False)
+        ]
+        self.observed.fault_spans = [
+            observations.FaultSpan("asked to end", "vm-0", 99.0, 108.0)
+        ]
+        self.assert_no_violations()
+        self.observed.requests.append(request("q", status=0, complete=False))
+        self.assert_violated("cuts nothing")
+
     def test_request_cut_by_router_shutting_down(self):
         self.observed.requests = [request(status=0, complete=False)]
         self.observed.fault_spans = [
