Rollout: engines that leave orders unanswered or run long do not delay it

Orders that get no answer kept their place while they were repeated each 1.5 s, so 13 engines got no order for 5 s; later orders waited for running requests, which took 8 to 10 s on engines that had turned slow.

Change: an engine that is not busy 0.9 s after its order leaves its place, and comes after those that were not asked yet. Engines whose weights routers no longer use are updated beyond the limit, which only keeps engines in service. After 0.7 of the time for which old weights are used, an order lets running requests continue instead of waiting for them (docs/LOGS.md, keeps_runs).

--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -218,6 +218,13 @@
 # An order is repeated after this time if its response was lost and the engine
 # is not carrying it out.
 ORDER_RETRY_S = 1.5
+# After this fraction of the time for which old weights are used, an order does
+# not wait for running requests: on a slow engine they may take longer than what
+# is left.
+LATE_ORDER_FRACTION = 0.7
+# An engine that has accepted an order reports itself as busy within this time:
+# the time limit of the order, and the age of what engines report.
+ORDER_CONFIRM_S = 0.9
 
 # A router that is shutting down starts only requests that can end before it
 # exits: at least this much time must be left.
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -218,6 +218,7 @@
                 self._store_handover,
                 lambda: self.feed.since_restore_s,
                 self._settings.weights.min_order_gap_s,
+                self._settings.weights.old_weights_max_age_s,
             ),
             self._clock,
             self._rng,
--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -12,6 +12,7 @@
 import dataclasses
 import enum
 import json
+import math
 import random
 from typing import Protocol
 
@@ -79,6 +80,8 @@
         fencing: fencing token of the lease under which the order is sent.
         expected_orders: number of orders the engine must have accepted
             before; it rejects this order if the number differs.
+        keeps_runs: whether running requests continue under the new version;
+            if not, the engine loads it after they have ended.
     """
 
     upstream: str
@@ -87,6 +90,7 @@
     version: int
     fencing: int
     expected_orders: int
+    keeps_runs: bool = False
 
 
 class OrderAnswer(enum.Enum):
@@ -197,6 +201,9 @@
     target_versions: Mapping[str, int],
     updating: set[str],
     wait_s: Callable[[upstreams.Upstream], float],
+    is_out_of_use: Callable[[upstreams.Upstream, str], bool] = (
+        lambda engine, model: False
+    ),
 ) -> list[tuple[upstreams.Upstream, str, int]]:
     """Selects the engines to update now.
 
@@ -210,6 +217,9 @@
         updating: names of engines whose update is under way; they count
             towards the limit of concurrent loads.
         wait_s: returns the predicted wait for new work at an engine.
+        is_out_of_use: whether an engine gets no more requests for a model
+            until it has newer weights. The limit of concurrent loads keeps
+            engines in service, so it does not hold for these.
 
     Returns:
         Engine, model and version of each update to start.
@@ -233,9 +243,8 @@
     )
     selected = []
     for engine, model, version in due:
-        if loading_count.get(model, 0) < max_concurrent_loads(
-            engine_count[model]
-        ):
+        limit = max_concurrent_loads(engine_count[model])
+        if loading_count.get(model, 0) < limit or is_out_of_use(engine, model):
             loading_count[model] = loading_count.get(model, 0) + 1
             selected.append((engine, model, version))
     return selected
@@ -254,6 +263,8 @@
             older copy, which loses the lease; infinite if it never was.
         min_order_gap_s: minimum time between orders of two lease holders to
             the same engine, in seconds.
+        old_weights_max_age_s: seconds for which routers use old weights after
+            newer ones are set.
     """
 
     may_acquire_lease: Callable[[], bool]
@@ -261,6 +272,7 @@
     store_handover: Callable[[bytes], Awaitable[None]]
     since_restore_s: Callable[[], float]
     min_order_gap_s: float
+    old_weights_max_age_s: float = math.inf
 
 
 class Rollout:
@@ -293,13 +305,17 @@
         self._store_handover = context.store_handover
         self._since_restore_s = context.since_restore_s
         self._min_order_gap_s = context.min_order_gap_s
+        self._old_weights_max_age_s = context.old_weights_max_age_s
         self._clock = clock
         self._rng = rng
         self._tasks = background.Tasks()
         # Names of the engines whose update is under way.
         self._updating: set[str] = set()
-        # Engines that did not answer, and when to read their status again.
+        # Engines that did not answer or carry out an order, and when to read
+        # their status again.
         self._unreachable_until: dict[str, float] = {}
+        # Engines that did not carry out their latest order.
+        self._unanswered: set[str] = set()
         self._wake = asyncio.Event()
         self._lease_released = asyncio.Event()
         self._held = False
@@ -407,6 +423,7 @@
     def start_due_updates(self) -> None:
         """Starts a task for each engine that is due for an update."""
         now = self._clock.monotonic()
+        self._unanswered &= self._fleet.upstreams.by_name.keys()
         self._unreachable_until = {
             name: until
             for name, until in self._unreachable_until.items()
@@ -424,7 +441,8 @@
             reachable,
             self._fleet.target_versions,
             self._updating,
-            lambda engine: engine.wait_s(now),
+            lambda engine: self._order_delay_s(engine, now),
+            self._is_out_of_use,
         )
         for engine, model, version in due:
             if not self._order_gap_passed(engine.entry.name):
@@ -432,6 +450,25 @@
             self._updating.add(engine.entry.name)
             self._tasks.spawn(self._update_engine(engine, model, version))
 
+    def _superseded_for_s(
+        self, engine: upstreams.Upstream, model: str
+    ) -> float:
+        """Returns how long the weights that an engine has are out of date."""
+        held = engine.weights.get(model, 0)
+        return self._fleet.superseded_for_s(model, held)
+
+    def _is_out_of_use(self, engine: upstreams.Upstream, model: str) -> bool:
+        """Whether routers no longer use the weights that an engine has."""
+        age_s = self._superseded_for_s(engine, model)
+        return age_s >= self._old_weights_max_age_s
+
+    def _order_delay_s(self, engine: upstreams.Upstream, now: float) -> float:
+        """Returns how long an order to an engine is expected to take."""
+        delay_s = engine.wait_s(now)
+        if engine.entry.name in self._unanswered:
+            delay_s += const.ORDER_RETRY_S
+        return delay_s
+
     async def _update_engine(
         self, engine: upstreams.Upstream, model: str, version: int
     ) -> None:
@@ -446,7 +483,9 @@
     ) -> None:
         """Orders an engine to load a version and polls it until it has.
 
-        A newer target version that is set meanwhile replaces it.
+        A newer target version that is set meanwhile replaces it. An engine that
+        does not carry out an order is left for now, so that others can load
+        meanwhile.
         """
         ordered_at = float("-inf")
         while self.holds_lease:
@@ -477,10 +516,20 @@
             status = reading.ok()
             engine.note_weights(model, status.weights.get(model, 0))
             if engine.weights.get(model, 0) >= version:
+                self._unanswered.discard(engine.entry.name)
                 await self._announce_weights(engine, model, version, True)
                 return
-            retry_due = now - ordered_at >= const.ORDER_RETRY_S
-            if not status.busy and retry_due:
+            since_order_s = now - ordered_at
+            if (
+                not status.busy
+                and const.ORDER_CONFIRM_S < since_order_s < const.ORDER_RETRY_S
+            ):
+                self._unreachable_until[engine.entry.name] = (
+                    ordered_at + const.ORDER_RETRY_S
+                )
+                self._unanswered.add(engine.entry.name)
+                return
+            if not status.busy and since_order_s >= const.ORDER_RETRY_S:
                 answer = await self._send_order(engine, model, version, status)
                 ordered_at = now
                 if answer is OrderAnswer.FENCED:
@@ -514,6 +563,8 @@
             version,
             self._lease.fencing,
             status.orders_accepted,
+            self._superseded_for_s(engine, model)
+            >= self._old_weights_max_age_s * const.LATE_ORDER_FRACTION,
         )
         self._last_order_at[engine.entry.name] = self._clock.boottime()
         reply = await self._link.send_order(order)
@@ -526,6 +577,7 @@
             version=version,
             before=status.weights.get(model, 0),
             orders=status.orders_accepted,
+            keeps_runs=order.keeps_runs,
             fencing=order.fencing,
             lease_left_s=round(self._lease.time_left(), 2),
             answer=answer.value,
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -156,7 +156,7 @@
             "operation": "version",
             "model": order.model,
             "version": order.version,
-            "mode": "hold",
+            "mode": "retain" if order.keeps_runs else "hold",
             "holder": self._router_name,
             "fenceToken": order.fencing,
             "precondition": order.expected_orders,
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -476,11 +476,12 @@
         else:
             exchange.respond(202)
         # Loads in the background, as the connection may carry other calls.
-        self._tasks.spawn(self._load(body["version"]))
+        keeps_runs = body["mode"] == "retain"
+        self._tasks.spawn(self._load(body["version"], keeps_runs))
 
-    async def _load(self, version: int) -> None:
-        """Loads the weights after all running requests have ended."""
-        while self._running:
+    async def _load(self, version: int, keeps_runs: bool) -> None:
+        """Loads the weights, usually after all running requests have ended."""
+        while self._running and not keeps_runs:
             await asyncio.sleep(0.01)
         await asyncio.sleep(LOAD_S)
         self.weights = version
--- a/tests/dispatch/test_control.py
+++ b/tests/dispatch/test_control.py
@@ -237,6 +237,52 @@
 
         self.run_fleet(scenario)
 
+    def test_engines_that_answer_no_order_delay_no_others(self):
+        """Orders to 8 of 12 engines get no answer and run 6 s later."""
+
+        async def scenario():
+            await asyncio.sleep(3.0)
+            engines = [r for r in self.fleet.replicas.values() if r.model]
+            late = [item for item in engines if int(item.name[1:]) < 8]
+            for item in late:
+                item.faults.order_delay_s = 6.0
+            await self.name_weights(2)
+            await asyncio.sleep(3.0)
+            prompt = {item.weights for item in engines if item not in late}
+            self.assertEqual(prompt, {2})
+            await asyncio.sleep(3.0)
+            for item in late:
+                item.faults.order_delay_s = 0.0
+            await asyncio.sleep(2.0)
+            self.assertEqual(set(self.loaded_versions()), {2})
+            self.assert_one_lease_holder_at_a_time()
+
+        self.run_fleet(scenario, engines=12)
+
+    def test_engines_with_long_runs_load_in_time(self):
+        """Orders are lost for 6 s; then streams run beyond the deadline."""
+
+        async def scenario():
+            await asyncio.sleep(3.0)
+            engines = [r for r in self.fleet.replicas.values() if r.model]
+            for item in engines:
+                item.faults.order_delay_s = 60.0
+            await self.name_weights(2)
+            await asyncio.sleep(6.0)
+            streams = asyncio.gather(
+                *(self.fleet.call("review", output=3000) for _ in range(24))
+            )
+            await asyncio.sleep(0.4)
+            for item in engines:
+                item.faults.order_delay_s = 0.0
+            await asyncio.sleep(4.6)
+            self.assertEqual(self.loaded_versions(), [2] * len(engines))
+            self.assertFalse(streams.done())
+            for answer in await streams:
+                self.assert_complete_stream(answer, 3000)
+
+        self.run_fleet(scenario, engines=6)
+
     def test_lease_holder_that_shuts_down_hands_over_at_once(self):
         async def scenario():
             await asyncio.sleep(3.0)
--- a/tests/dispatch/test_rollout.py
+++ b/tests/dispatch/test_rollout.py
@@ -55,6 +55,19 @@
         wait_s = {"e1": 1.0}
         self.assertEqual(self.select(engines, 3, wait_s=wait_s), ["e2"])
 
+    def test_engines_out_of_use_are_updated_beyond_the_limit(self):
+        engines = [make_engine(f"e{index}", 1 + index // 4) for index in (0, 1)]
+        engines += [make_engine(f"e{index}", 2) for index in (2, 3, 4, 5)]
+        selected = rollout.select_engines_to_update(
+            {item.entry.name: item for item in engines},
+            {"m": 3},
+            {"e4", "e5"},
+            lambda item: 0.0,
+            lambda item, model: item.weights[model] == 1,
+        )
+        names = [item.entry.name for item, _, _ in selected]
+        self.assertEqual(names, ["e0", "e1"])
+
     def test_leaving_engines_are_skipped(self):
         engines = [make_engine("e0", 1, leaving=True), make_engine("e1", 2)]
         self.assertEqual(self.select(engines, 2), [])
@@ -89,6 +102,7 @@
         fleet = mock.Mock()
         fleet.upstreams.by_name = {"e0": engine}
         fleet.target_versions = {"m": 2}
+        fleet.superseded_for_s.return_value = 0.0
         context = rollout.RolloutContext(
             lambda: True,
             mock.Mock(),
