Docs and names after a second reading

The rollout's two ways of leaving an engine for a time share a method; a variable of hedged_fetch and a comment say what they mean.

--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -313,7 +313,7 @@
         self._updating: set[str] = set()
         # Engines that did not answer or carry out an order, and when to read
         # their status again.
-        self._unreachable_until: dict[str, float] = {}
+        self._skipped_until: dict[str, float] = {}
         # Engines that did not carry out their latest order.
         self._unanswered: set[str] = set()
         self._wake = asyncio.Event()
@@ -424,15 +424,15 @@
         """Starts a task for each engine that is due for an update."""
         now = self._clock.monotonic()
         self._unanswered &= self._fleet.upstreams.by_name.keys()
-        self._unreachable_until = {
+        self._skipped_until = {
             name: until
-            for name, until in self._unreachable_until.items()
+            for name, until in self._skipped_until.items()
             if until > now
         }
         reachable = {
             name: engine
             for name, engine in self._fleet.upstreams.by_name.items()
-            if name not in self._unreachable_until
+            if name not in self._skipped_until
             and engine.failures.value(now) < MAX_FAILURE_RATE
             and self._fleet.upstreams.accepts_work(engine)
             and not engine.pause_left_s(now)
@@ -478,6 +478,10 @@
             self._updating.discard(engine.entry.name)
             self._wake.set()
 
+    def _skip_until(self, engine: upstreams.Upstream, until: float) -> None:
+        """Leaves an engine alone until a time, so that others are updated."""
+        self._skipped_until[engine.entry.name] = until
+
     async def _order_until_loaded(
         self, engine: upstreams.Upstream, model: str, version: int
     ) -> None:
@@ -504,9 +508,7 @@
             reply = reading.err() if reading.is_err() else reading.ok()
             self._fleet.apply_signals(engine, reply.signals)
             if reading.is_err():
-                self._unreachable_until[engine.entry.name] = (
-                    now + UNREACHABLE_RETRY_S
-                )
+                self._skip_until(engine, now + UNREACHABLE_RETRY_S)
                 decisions.record(
                     "account_missing",
                     upstream=engine.entry.name,
@@ -524,9 +526,7 @@
                 not status.busy
                 and const.ORDER_CONFIRM_S < since_order_s < const.ORDER_RETRY_S
             ):
-                self._unreachable_until[engine.entry.name] = (
-                    ordered_at + const.ORDER_RETRY_S
-                )
+                self._skip_until(engine, ordered_at + const.ORDER_RETRY_S)
                 self._unanswered.add(engine.entry.name)
                 return
             if not status.busy and since_order_s >= const.ORDER_RETRY_S:
--- a/bergamotmill/helpers/hedged_fetch.py
+++ b/bergamotmill/helpers/hedged_fetch.py
@@ -43,13 +43,13 @@
         )
 
     attempts = {start_attempt()}
-    patience_s = hedge_after_s
+    delay_s = hedge_after_s
     try:
         async with asyncio.timeout(timeout_s):
             while True:
                 done, attempts = await asyncio.wait(
                     attempts,
-                    timeout=patience_s,
+                    timeout=delay_s,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 answered = [t for t in done if t.exception() is None]
@@ -60,7 +60,7 @@
                 if not done:
                     pool.close_idle(address)
                     attempts.add(start_attempt())
-                    patience_s = hedge_period_s
+                    delay_s = hedge_period_s
     finally:
         for task in attempts:
             task.cancel()
--- a/bergamotmill/platform/const.py
+++ b/bergamotmill/platform/const.py
@@ -97,6 +97,6 @@
 CALL_TIMEOUT_S = 2.0
 # Time that a watch call may take beyond the wait that it requests.
 WATCH_TIMEOUT_MARGIN_S = 1.0
-# A read or renewal without a response is repeated after this time; a slow store
-# answers within half of it.
+# A read or renewal without a response is repeated after this time. It is above
+# the response time of a slow store, which repetitions would slow down further.
 HEDGE_PERIOD_S = 0.4
