Log lines: whether an answer had begun, and engines that ended before it

The incident's lines could not tell which part of a prompt an engine ended under, whether an attempt had begun its answer, nor a lost connection from an engine that ended: attempt_failed gets 'began', and a lost attempt without an event is followed by one connection to its engine; if that is refused, the line upstream_ended names the parts that other requests may have.

--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -254,7 +254,11 @@
                     refused=err.failure is errors.Failure.REFUSED,
                     failed=err.failure in _EJECTING_FAILURES,
                 )
-                if self._record_failure(progress, choice.best.upstream, err):
+                may_repeat = self._record_failure(
+                    progress, choice.best.upstream, err
+                )
+                await self._check_end(progress, choice.best.upstream, err)
+                if may_repeat:
                     continue
                 if await self._continue_at_standby(progress, sink, choice, err):
                     return None
@@ -410,6 +414,34 @@
             return "the retry budget is exhausted"
         return ""
 
+    async def _check_end(
+        self,
+        progress: call_progress.Progress,
+        upstream: upstreams.Upstream,
+        err: errors.UpstreamError,
+    ) -> None:
+        """Finds out whether an engine ended before it began an answer.
+
+        A connection can also be lost while the engine goes on; one that has
+        ended refuses new connections.
+        """
+        call = progress.call
+        if (
+            call.generation is None
+            or err.failure is not errors.Failure.LOST
+            or progress.answer_began_at is not None
+            or not await self._attempt_runner.refuses_connections(upstream)
+        ):
+            return
+        self._metrics.count("upstream.ended")
+        decisions.record(
+            "upstream_ended",
+            request=call.request_id,
+            upstream=upstream.entry.name,
+            born=upstream.entry.born,
+            parts=sorted(call.generation.shared_parts),
+        )
+
     def _record_failure(
         self,
         progress: call_progress.Progress,
@@ -436,6 +468,7 @@
             detail=str(err),
             sent=err.sent,
             ran=err.ran,
+            began=progress.answer_began_at is not None,
         )
         route = progress.call.route
         if not err.ran:
--- a/bergamotmill/dispatch/messages.py
+++ b/bergamotmill/dispatch/messages.py
@@ -30,6 +30,11 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
 
+    @property
+    def shared_parts(self) -> frozenset[str]:
+        """Names of the parts that other requests may have, too."""
+        return frozenset(part.name for part in self.parts[:-1])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
--- a/bergamotmill/dispatch/progress.py
+++ b/bergamotmill/dispatch/progress.py
@@ -22,6 +22,8 @@
         first_byte_s: seconds from the request to the first byte of its
             stream.
         last_data_at: monotonic time when the upstream last sent data.
+        answer_began_at: monotonic time of the first event that the present
+            upstream sent; None before it, and for plain responses.
         standby: engine that keeps a copy of the run's KV memory.
     """
 
@@ -36,6 +38,7 @@
         self.was_held = False
         self.first_byte_s = 0.0
         self.last_data_at = 0.0
+        self.answer_began_at: float | None = None
         self.standby: standby.Standby | None = None
 
     @property
--- a/bergamotmill/dispatch/relay.py
+++ b/bergamotmill/dispatch/relay.py
@@ -139,6 +139,8 @@
             events = splitter.feed(data)
             if not events:
                 continue
+            if progress.answer_began_at is None:
+                progress.answer_began_at = self._now()
             if resumed_after:
                 _check_resumed_event(events[0], resumed_after)
                 resumed_after = ""
