Failing tests: prompts that crash engines; responses without length or chunks

The stand-in's engines crash when they begin an answer on a given part, and answer with neither length nor chunks.

The in-memory network now tells a protocol of the end of a stream, as sockets do; without it no response could end with its connection.

--- a/bergamotmill/standin/platform/fleet.py
+++ b/bergamotmill/standin/platform/fleet.py
@@ -21,6 +21,7 @@
 from bergamotmill.standin.platform import store
 from bergamotmill.util import clock as clocks
 from bergamotmill.util import memory_network
+from bergamotmill.util import tasks as background
 
 STORE_HOST = "10.0.3.1"
 CALLER_HOST = "10.0.9.9"
@@ -28,6 +29,10 @@
 HOST = "calls.example"
 CUSTOMER_BY_KEY = {"key-one": "one", "key-two": "two", "key-alone": "alone"}
 STARTUP_SETTLE_S = 3.0
+# Time after which a crashed replica is back, under another name at the same
+# address, and after which the entry of the crashed one is removed.
+REPLICA_RESTART_S = 3.0
+ENTRY_EXPIRY_S = 3.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -140,7 +145,12 @@
 
 
 class PlatformFleet:
-    """Starts and stops the parts of the platform and its routers."""
+    """Starts and stops the parts of the platform and its routers.
+
+    Attributes:
+        crashes: time and name of each replica that a prompt crashed.
+        crashed: the replicas that crashed.
+    """
 
     def __init__(
         self,
@@ -160,6 +170,9 @@
         self.replica_set = replica_set.ReplicaSet(self.store)
         self.replicas = self.replica_set.replicas
         self.routers: dict[int, daemon.Daemon] = {}
+        self.crashes: list[tuple[float, str]] = []
+        self.crashed: list[replica.ReplicaStandIn] = []
+        self._crash_tasks = background.Tasks()
         self._incarnation = 0
         self._next_id = 0
         self._pool: http_client.Pool | None = None
@@ -200,10 +213,39 @@
             slots=64 if engine else 6,
             **options,
         )
+        standin.on_crash = self._on_crash
         self.replica_set.add(standin)
         await self.run_as_host(host, standin.start())
         return standin
 
+    def _on_crash(self, standin: replica.ReplicaStandIn) -> None:
+        """Ends a replica that a prompt crashed; it is back after some time."""
+        if self.replicas.pop(standin.name, None) is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self.crashes.append((now, standin.name))
+        self.crashed.append(standin)
+        self.network.kill(standin.address.partition(":")[0])
+        self._crash_tasks.spawn(standin.close())
+        self._crash_tasks.spawn(self._restart(standin))
+        self._crash_tasks.spawn(self._expire_entry(standin))
+
+    async def _restart(self, standin: replica.ReplicaStandIn) -> None:
+        await asyncio.sleep(REPLICA_RESTART_S)
+        host = standin.address.partition(":")[0]
+        restarted = await self.start_replica(
+            f"{standin.name.partition('.')[0]}.{len(self.crashes)}",
+            host,
+            bool(standin.model),
+            weights=standin.weights,
+            born=standin.born + len(self.crashes),
+        )
+        restarted.faults = standin.faults
+
+    async def _expire_entry(self, standin: replica.ReplicaStandIn) -> None:
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        await standin.deregister()
+
     async def crash_replica(self, name: str) -> None:
         """Kills a replica; its entry stays in the store."""
         standin = self.replicas.pop(name)
@@ -274,6 +316,7 @@
 
     async def close(self) -> None:
         """Stops all parts."""
+        await self._crash_tasks.close()
         for index in list(self.routers):
             await self.crash_router(index)
         for standin in self.replicas.values():
@@ -347,7 +390,7 @@
         """Returns the runs of one request, or of all requests."""
         return [
             run
-            for standin in self.replicas.values()
+            for standin in [*self.replicas.values(), *self.crashed]
             for run in standin.runs
             if request_id in ("", run.request_id)
         ]
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -26,9 +26,12 @@
         weights: version of the weights.
         began: start time on the loop's clock.
         resumed_after: number of the last event that the caller already has.
-        outcome: `ok`, `error`, `lost` (answer not sent), `cut` (stream cut)
-            or `left` (caller disconnected); empty while the request runs.
+        outcome: `ok`, `error`, `lost` (answer not sent), `cut` (stream cut),
+            `crashed` or `left` (caller disconnected); empty while the request
+            runs.
         continued: whether it continues from a copy of the KV cache.
+        parts: names of the parts of its prompt.
+        answered: whether the first bytes of its answer were sent.
     """
 
     request_id: str
@@ -39,13 +42,16 @@
     resumed_after: int = 0
     outcome: str = ""
     continued: bool = False
+    parts: tuple[str, ...] = ()
+    answered: bool = False
 
 
 @dataclasses.dataclass
 class Faults:
     """Faults that a test can switch on.
 
-    Only `mute`, `cut_after` and `order_delay_s` affect engines.
+    Only `mute`, `cut_after`, `order_delay_s`, `crash_part` and `unframed`
+    affect engines; `unframed` affects plain services, too.
 
     Attributes:
         lose_answers: whether requests run but their connection is cut.
@@ -64,6 +70,13 @@
         says_leaving: whether answers say that the replica is leaving.
         endless: part of an answer that never ends, until the caller
             disconnects: a key of `ENDLESS_PARTS`; empty for none.
+        crash_part: part of prompts on which an engine crashes when it begins to
+            write the answer, unless it is the last part; empty for none.
+        unframed: whether answers have neither a length nor chunks and end with
+            their connection.
+        end_after_head: whether unframed answers end after their head.
+        pause_after_start_s: pause within unframed answers, after their first
+            bytes, in seconds.
     """
 
     lose_answers: bool = False
@@ -77,6 +90,10 @@
     retry_after_s: float = 0.0
     says_leaving: bool = False
     endless: str = ""
+    crash_part: str = ""
+    unframed: bool = False
+    end_after_head: bool = False
+    pause_after_start_s: float = 0.0
 
 
 # Bytes that answers without an end start with, and those that follow. `ID` is
@@ -112,6 +129,11 @@
     del address
 
 
+def _ignore_crash(standin: "ReplicaStandIn") -> None:
+    """Does nothing: the replica stays."""
+    del standin
+
+
 def _parse_parts(text: str) -> engine_model.Parts:
     parts = []
     for item in text.split(","):
@@ -138,6 +160,7 @@
         engine: model of compute time and KV memory.
         kv_copies: ids of requests whose KV cache was copied here.
         endless_bytes_sent: bytes sent of answers that never end.
+        on_crash: called when a prompt crashes the replica.
     """
 
     def __init__(
@@ -183,6 +206,7 @@
         self._tasks = background.Tasks()
         self.kv_copies: set[str] = set()
         self.endless_bytes_sent = 0
+        self.on_crash: Callable[[ReplicaStandIn], None] = _ignore_crash
         self._server = http_server.HttpServer(listen or address, self._handle)
 
     def share_recent_uses(self, uses: engine_model.RecentUses) -> None:
@@ -345,6 +369,13 @@
         run.outcome = "error" if self.faults.errors else "ok"
         status = 500 if self.faults.errors else 200
         body = b"done:" + run.request_id.encode() + exchange.request.body
+        if self.faults.unframed and not self.faults.errors:
+            self._start(exchange)
+            self._write(exchange, body[:2])
+            run.answered = True
+            await asyncio.sleep(self.faults.pause_after_start_s)
+            self._write(exchange, body[2:])
+            return
         exchange.respond(status, body, self._success_headers(exchange))
         if self.faults.extra_after_s >= 0:
             self._send_extra_answer(exchange, run)
@@ -389,6 +420,7 @@
             int(text) for text in headers[const.HEADER_TOKEN_COUNTS].split(",")
         )
         parts = _parse_parts(headers[const.HEADER_PROMPT_PREFIX])
+        run.parts = tuple(name for name, _ in parts)
         source = self._replica_at(headers.get(const.HEADER_KV_SOURCE, ""))
         if source is not None:
             tokens = source.engine.cached_tokens(run.scope, parts)
@@ -407,7 +439,13 @@
             self._recent_uses.record(engine_model.cache_keys(run.scope, parts))
             if self.faults.mute:
                 await self._stay_silent(exchange)
-            await self._write_events(exchange, run, work, output)
+            if exchange.disconnected:
+                run.outcome = "left"
+            elif self.faults.crash_part in run.parts[:-1]:
+                run.outcome = "crashed"
+                self.on_crash(self)
+            else:
+                await self._write_events(exchange, run, work, output)
         finally:
             self.engine.finish(work)
 
@@ -415,10 +453,10 @@
         self, exchange, run: Run, work, output: int
     ) -> None:
         """Writes one event for every `tokens_per_event` tokens generated."""
-        if exchange.disconnected:
-            run.outcome = "left"
+        self._start(exchange)
+        if self.faults.end_after_head:
+            run.outcome = "cut"
             return
-        exchange.start(200, self._success_headers(exchange))
         for number in range(run.resumed_after + 1, output + 1):
             tokens_due = (
                 number - run.resumed_after - 1
@@ -433,15 +471,37 @@
                 return
             if self.faults.cut_after and number > self.faults.cut_after:
                 run.outcome = "cut"
-                exchange.write(b"id: %d\nda" % number)
+                self._write(exchange, b"id: %d\nda" % number)
                 await asyncio.sleep(0)
                 exchange.abort()
                 return
-            exchange.write(EVENT_FORMAT % (number, number))
+            self._write(exchange, EVENT_FORMAT % (number, number))
             await exchange.drain()
-        exchange.finish()
+            if self.faults.pause_after_start_s and not run.answered:
+                await asyncio.sleep(self.faults.pause_after_start_s)
+            run.answered = True
+        # An unframed answer ends when the connection closes after this.
+        if not self.faults.unframed:
+            exchange.finish()
         run.outcome = "ok"
 
+    def _start(self, exchange) -> None:
+        """Writes the head of a successful answer."""
+        headers = self._success_headers(exchange)
+        if not self.faults.unframed:
+            exchange.start(200, headers)
+            return
+        lines = [name + b": " + value for name, value in headers]
+        lines = [b"HTTP/1.1 200 OK", *lines, b"connection: close", b"", b""]
+        exchange.write_raw(b"\r\n".join(lines))
+
+    def _write(self, exchange, data: bytes) -> None:
+        """Writes a part of the body of a successful answer."""
+        if self.faults.unframed:
+            exchange.write_raw(data)
+        else:
+            exchange.write(data)
+
     def _send_report(self, exchange) -> None:
         if self.faults.refuse:
             self._refuse(exchange)
--- a/bergamotmill/util/memory_network.py
+++ b/bergamotmill/util/memory_network.py
@@ -100,6 +100,7 @@
         while self._receive_buffer and self._reading and not self._disconnected:
             chunk = self._receive_buffer.popleft()
             if chunk is None:
+                self.protocol.eof_received()
                 self._terminate(None)
                 return
             self._receive_buffer_bytes -= len(chunk)
