Streams without length or chunks: one without an event is broken off

What callers saw: an engine that ended after the head of such a stream made the router forward an empty stream as complete, with status 200. Cause: the end of the connection was taken for the end of the answer, also before its first event. The head now says whether the response ends with its connection; such a stream counts as lost unless an event arrived.

A stream that ends inside an event was counted as lost before.

--- a/bergamotmill/dispatch/messages.py
+++ b/bergamotmill/dispatch/messages.py
@@ -147,6 +147,8 @@
         not_run: reason given when the upstream did not run the request.
         weights_version: version of the weights in use; 0 when not reported.
         signals: what the upstream says of itself.
+        ends_with_connection: whether the response has neither a length nor
+            chunks, so that only the end of its connection ends it.
     """
 
     status: int
@@ -155,6 +157,7 @@
     not_run: NotRun | None = None
     weights_version: int = 0
     signals: UpstreamSignals = NO_SIGNALS
+    ends_with_connection: bool = False
 
     @property
     def ok(self) -> bool:
--- a/bergamotmill/dispatch/relay.py
+++ b/bergamotmill/dispatch/relay.py
@@ -130,7 +130,11 @@
         response: ports.UpstreamResponse,
         upstream: upstreams.Upstream,
     ) -> None:
-        """Forwards a stream in complete events."""
+        """Forwards a stream in complete events.
+
+        Raises:
+            errors.UpstreamError: the stream is broken off.
+        """
         splitter = sse.EventSplitter()
         resumed_after = progress.last_event_id if sink.started else ""
         while data := await response.read():
@@ -157,6 +161,13 @@
             raise errors.UpstreamError(
                 errors.Failure.LOST, "stream ended within an event", True
             )
+        if response.head.ends_with_connection and (
+            progress.answer_began_at is None
+        ):
+            # An engine that ends after the head closes the connection, too.
+            raise errors.UpstreamError(
+                errors.Failure.LOST, "stream ended without an event", True
+            )
         if not sink.started:
             sink.start(response.head)
         sink.finish()
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -259,6 +259,10 @@
         _not_run_reason(head),
         int(weights_version) if weights_version.isdigit() else 0,
         _parse_signals(head),
+        not (
+            head.get_header("content-length")
+            or head.get_header("transfer-encoding")
+        ),
     )
 
 
