Prompts with a part that crashes engines are held back

What callers saw: every request with the part crashed two engines, one after the other, whatever else it held; sound requests lost their engines with it.

Cause: the end of an engine counted against the engine alone, and the request went on to the next one. Nothing connected how attempts of different requests, or at different routers, ended.

Change: routing/prompt_quarantine.py weighs crashes under unanswered attempts against answers, part by part, and quarantines the parts with the least in their favour; control/quarantine.py shares evidence and entries by messages to all routers, and keeps the entries in the store. Requests with such parts get 503 (not run) at once, attempts under way are withdrawn (502), and one router at a time may try again, after 30 s and ever longer pauses.

Why it works: an answer is proof that a part does not crash engines, and parts that requests share are answered all the time; the part at fault never is.

--- /dev/null
+++ b/bergamotmill/control/quarantine.py
@@ -0,0 +1,404 @@
+"""Shares the quarantine of prompt parts between routers.
+
+Crash reports and entries go to all routers as messages that may be lost.
+Entries are also documents in the store, from which routers read them after a
+restart and operators can list and remove them; and while there are entries,
+each router repeats its own to a few others, so that new routers and those that
+were cut off learn of them while the store is away. A trial is begun by the
+router that writes it to the store first.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+import dataclasses
+import random
+
+import result
+
+from bergamotmill.control import quarantine_messages as codec
+from bergamotmill.helpers import decisions
+from bergamotmill.proto import peer_pb2
+from bergamotmill.routing import prompt_quarantine
+from bergamotmill.storage import key_value
+from bergamotmill.util import clock as clocks
+from bergamotmill.util import rendezvous
+from bergamotmill.util import tasks as background
+
+# Time in which peers' answers to a crash report arrive.
+EVIDENCE_WAIT_S = 0.05
+# An event that arrived this shortly before its replica ended does not clear the
+# prompt: the replica may have ended as it wrote the answer.
+SETTLED_ANSWER_S = 0.05
+MAINTENANCE_PERIOD_S = 1.0
+# Routers to which a router repeats the entries in each period. A router that
+# hears from three others a period misses all of three periods once in 8,000
+# times.
+GOSSIP_FANOUT = 3
+# Shortest time after which callers are told to come back.
+MIN_RETRY_AFTER_S = 1.0
+
+SendMessage = Callable[[str, peer_pb2.NotifyRequest], None]
+Listener = Callable[[prompt_quarantine.Entry], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineLinks:
+    """How a router's quarantine reaches other routers and the store.
+
+    Attributes:
+        own_name: name of this router.
+        send: sends a message, which may be lost, to a router.
+        other_names: returns the names of the other routers.
+        store: the store.
+        key_prefix: prefix of the entries' keys in the store.
+        revision: returns the revision of a key as last read; 0 if it has none.
+        is_restored: whether the store came back from an older copy lately.
+    """
+
+    own_name: str
+    send: SendMessage
+    other_names: Callable[[], Sequence[str]]
+    store: key_value.KeyValueStore
+    key_prefix: str
+    revision: Callable[[str], int]
+    is_restored: Callable[[], bool]
+
+
+class Quarantine:
+    """The quarantine of one router, kept in step with those of the others."""
+
+    def __init__(
+        self,
+        links: QuarantineLinks,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ):
+        self._links = links
+        self._clock = clock
+        self._rng = rng
+        self._state = prompt_quarantine.PromptQuarantine()
+        self._listeners: list[Listener] = []
+        # Keys of entries that this router has to write or to remove.
+        self._to_write: set[str] = set()
+        self._to_remove: set[str] = set()
+        # Parts that were reported for a crash, by crash and model.
+        self._reported: dict[tuple[prompt_quarantine.Crash, str], set[str]] = {}
+        self._tasks = background.Tasks()
+        self._store_lock = asyncio.Lock()
+
+    @property
+    def entry_count(self) -> int:
+        """Number of entries in force."""
+        return len(self._state.entries)
+
+    def add_listener(self, listener: Listener) -> None:
+        """Calls the listener with each entry that comes into force."""
+        self._listeners.append(listener)
+
+    def blocking(
+        self, prompt: prompt_quarantine.Prompt
+    ) -> list[prompt_quarantine.Entry]:
+        """Returns the entries that hold a prompt back."""
+        return self._state.blocking(prompt)
+
+    def retry_after_s(self, entry: prompt_quarantine.Entry) -> float:
+        """Returns after how many seconds a request held back may be tried."""
+        left_s = entry.next_trial_at - self._clock.wall()
+        return max(MIN_RETRY_AFTER_S, left_s)
+
+    def note_answer(self, prompt: prompt_quarantine.Prompt) -> None:
+        """Records that a replica answered a prompt."""
+        clearances = self._state.record_answer(prompt, self._clock.monotonic())
+        for item in clearances:
+            self._clear(item.entry, "answered", self._links.own_name)
+            self._to_remove.add(item.entry.key)
+            self._broadcast_entry(item.entry, cleared=True)
+            if item.successor is not None:
+                self._put_in_force(item.successor)
+        if clearances:
+            self._tasks.spawn(self._synchronize())
+
+    async def note_crash(
+        self,
+        prompt: prompt_quarantine.Prompt,
+        crash: prompt_quarantine.Crash,
+    ) -> None:
+        """Records that a replica ended before it answered a prompt.
+
+        Returns when what peers know of the prompt has been considered.
+        """
+        blocking = self._state.blocking(prompt)
+        if blocking:
+            for entry in blocking:
+                self._put_in_force(self._state.add_crash(entry, crash))
+            return
+        now = self._clock.monotonic()
+        self._state.record_crash(prompt, crash, now)
+        self._report(prompt, crash)
+        await asyncio.sleep(EVIDENCE_WAIT_S)
+        entry = self._state.judge(
+            prompt, self._clock.monotonic(), self._clock.wall()
+        )
+        if entry is not None:
+            self._put_in_force(entry)
+
+    def _report(
+        self,
+        prompt: prompt_quarantine.Prompt,
+        crash: prompt_quarantine.Crash,
+    ) -> None:
+        """Reports a crash to all routers, each part of it once."""
+        reported = self._reported.setdefault((crash, prompt.model), set())
+        now = self._clock.monotonic()
+        answers = {
+            name: self._state.answers((prompt.model, name), now)
+            for name in prompt.parts - reported
+        }
+        reported |= prompt.parts
+        while len(self._reported) > prompt_quarantine.MAX_CLEARED:
+            del self._reported[next(iter(self._reported))]
+        for report in codec.encode_crash_report(
+            self._links.own_name, prompt.model, crash, answers
+        ):
+            self._broadcast(peer_pb2.NotifyRequest(crashes=[report]))
+
+    def on_crash_report(self, message: peer_pb2.CrashReport) -> None:
+        """Records a peer's crash report, and says what speaks against it."""
+        now = self._clock.monotonic()
+        prompt = prompt_quarantine.Prompt(
+            message.model, frozenset(message.parts)
+        )
+        self._state.record_crash(prompt, codec.decode_crash(message.crash), now)
+        self._merge_answers(message)
+        answers = {
+            name: found
+            for name in sorted(prompt.parts)
+            if (found := self._state.answers((prompt.model, name), now)).ever
+        }
+        if answers:
+            report = codec.encode_answers(
+                self._links.own_name, prompt.model, answers
+            )
+            self._links.send(
+                message.sender, peer_pb2.NotifyRequest(answers=[report])
+            )
+
+    def on_answers_report(self, message: peer_pb2.AnswersReport) -> None:
+        """Adds the answers that a peer has seen."""
+        self._merge_answers(message)
+
+    def _merge_answers(
+        self, message: peer_pb2.CrashReport | peer_pb2.AnswersReport
+    ) -> None:
+        now = self._clock.monotonic()
+        for name, answers in codec.decode_answers(message).items():
+            self._state.merge_answers(
+                message.sender, (message.model, name), answers, now
+            )
+
+    def on_notice(self, message: peer_pb2.QuarantineNotice) -> None:
+        """Applies a peer's entry, or its end."""
+        entry = codec.decode_notice(message)
+        if message.cleared:
+            self._clear(entry, "cleared", message.sender)
+        else:
+            self._apply(entry, message.sender)
+
+    def on_document(
+        self, key: str, value: bytes | None, revision: int, source: str
+    ) -> None:
+        """Applies a change in the store; ignores keys of other documents."""
+        if not key.startswith(self._links.key_prefix):
+            return
+        if value is not None:
+            self._apply_document(key, value, revision, source)
+            return
+        entry_key = key[len(self._links.key_prefix) :]
+        entry = self._state.entries.get(entry_key)
+        if entry is None or entry_key in self._to_write:
+            return
+        if self._links.is_restored():
+            self._to_write.add(entry_key)
+            return
+        self._clear(entry, "removed", source)
+
+    def _apply_document(
+        self, key: str, value: bytes, revision: int, source: str
+    ) -> prompt_quarantine.Entry | None:
+        """Applies an entry from the store; None if it cannot be read."""
+        decoded = codec.decode_document(value)
+        if decoded.is_ok() and not key.endswith(f"/{decoded.ok().key}"):
+            decoded = result.Err("the key is not that of the parts")
+        if decoded.is_err():
+            decisions.record(
+                "document_unreadable",
+                key=key,
+                revision=key_value.format_revision(revision),
+                source=source,
+                detail=decoded.err(),
+            )
+            return None
+        self._apply(decoded.ok(), source)
+        return decoded.ok()
+
+    async def claim_trial(self, entry: prompt_quarantine.Entry) -> bool:
+        """Whether this router may send one request in spite of an entry.
+
+        Only one router of the fleet may, and only while the store answers.
+        """
+        if self._clock.wall() < entry.next_trial_at:
+            return False
+        key = self._links.key_prefix + entry.key
+        revision = self._links.revision(key)
+        if not revision:
+            return False
+        tried = entry.after_trial(self._clock.wall())
+        written = await self._links.store.put(
+            key, codec.encode_document(tried), revision
+        )
+        decisions.record(
+            "part_trial",
+            quarantine=entry.key,
+            trials=tried.trials,
+            granted=written.is_ok(),
+        )
+        if written.is_err():
+            return False
+        self._apply(tried, self._links.own_name)
+        return True
+
+    def _put_in_force(self, entry: prompt_quarantine.Entry) -> None:
+        """Applies an entry of this router, and tells peers and the store."""
+        if not self._apply(entry, self._links.own_name):
+            return
+        self._broadcast_entry(self._state.entries[entry.key])
+        self._to_write.add(entry.key)
+        self._to_remove.discard(entry.key)
+        self._tasks.spawn(self._synchronize())
+
+    def _apply(self, entry: prompt_quarantine.Entry, source: str) -> bool:
+        """Applies an entry from anywhere; False if it changes nothing."""
+        is_new = entry.key not in self._state.entries
+        if not self._state.apply(entry):
+            return False
+        if is_new:
+            decisions.record(
+                "part_quarantined",
+                quarantine=entry.key,
+                model=entry.model,
+                parts=sorted(entry.parts),
+                customer=entry.customer,
+                crashes=sorted(crash.replica for crash in entry.crashes),
+                contested=entry.contested,
+                trials=entry.trials,
+                source=source,
+            )
+            for listener in self._listeners:
+                listener(entry)
+        return True
+
+    def _clear(
+        self, entry: prompt_quarantine.Entry, reason: str, source: str
+    ) -> None:
+        if not self._state.clear(entry.key, entry.since_ms):
+            return
+        self._to_write.discard(entry.key)
+        decisions.record(
+            "part_cleared",
+            quarantine=entry.key,
+            model=entry.model,
+            parts=sorted(entry.parts),
+            reason=reason,
+            source=source,
+        )
+
+    def _broadcast_entry(
+        self, entry: prompt_quarantine.Entry, cleared: bool = False
+    ) -> None:
+        notice = codec.encode_notice(self._links.own_name, entry, cleared)
+        self._broadcast(peer_pb2.NotifyRequest(quarantine=[notice]))
+
+    def _broadcast(self, request: peer_pb2.NotifyRequest) -> None:
+        for name in self._links.other_names():
+            self._links.send(name, request)
+
+    async def run(self) -> None:
+        """Repeats entries to peers and writes them to the store, forever."""
+        while True:
+            await asyncio.sleep(
+                MAINTENANCE_PERIOD_S * self._rng.uniform(0.8, 1.2)
+            )
+            self._expire()
+            if self._state.entries:
+                self._gossip()
+            await self._synchronize()
+
+    def _expire(self) -> None:
+        """Drops entries that nobody has asked for in a long time."""
+        names = {self._links.own_name, *self._links.other_names()}
+        for entry in self._state.idle(self._clock.wall()):
+            self._clear(entry, "idle", self._links.own_name)
+            # One router is enough to remove the document.
+            if rendezvous.top(entry.key, names, 1)[0] == self._links.own_name:
+                self._to_remove.add(entry.key)
+
+    def _gossip(self) -> None:
+        names = list(self._links.other_names())
+        receivers = self._rng.sample(names, min(GOSSIP_FANOUT, len(names)))
+        for entry in self._state.entries.values():
+            notice = codec.encode_notice(self._links.own_name, entry)
+            for name in receivers:
+                self._links.send(
+                    name, peer_pb2.NotifyRequest(quarantine=[notice])
+                )
+
+    async def _synchronize(self) -> None:
+        """Writes and removes the documents that this router has to.
+
+        What the store does not confirm is tried again later.
+        """
+        async with self._store_lock:
+            for key in sorted(self._to_remove):
+                removed = await self._links.store.delete(
+                    self._links.key_prefix + key, None
+                )
+                if removed.is_ok():
+                    self._to_remove.discard(key)
+            for key in sorted(self._to_write):
+                await self._write(key)
+
+    async def _write(self, key: str) -> None:
+        """Writes an entry unless the document has what it says already."""
+        entry = self._state.entries.get(key)
+        if entry is None:
+            self._to_write.discard(key)
+            return
+        store_key = self._links.key_prefix + key
+        written = await self._links.store.put(
+            store_key,
+            codec.encode_document(entry),
+            self._links.revision(store_key),
+        )
+        stored = entry if written.is_ok() else None
+        if written.is_err() and isinstance(written.err(), key_value.Conflict):
+            stored = await self._merge_conflict(store_key, written.err())
+        if stored == self._state.entries.get(key):
+            self._to_write.discard(key)
+
+    async def _merge_conflict(
+        self, store_key: str, conflict: key_value.Conflict
+    ) -> prompt_quarantine.Entry | None:
+        """Applies what another router has written; returns it if readable."""
+        current = conflict.current
+        if current is None:
+            read = await self._links.store.get(store_key)
+            current = read.unwrap_or(None)
+        if current is None:
+            return None
+        return self._apply_document(
+            store_key, current.value, current.revision, "store"
+        )
+
+    async def close(self) -> None:
+        """Cancels what is being written."""
+        await self._tasks.close()
--- a/bergamotmill/dispatch/attempt_runner.py
+++ b/bergamotmill/dispatch/attempt_runner.py
@@ -74,6 +74,10 @@
         """Whether an upstream currently refuses new connections."""
         return not await self._link.is_reachable(upstream.entry.address)
 
+    async def has_ended(self, upstream: upstreams.Upstream) -> bool:
+        """Whether an upstream has ended, as far as can be seen from here."""
+        return await self._link.has_ended(upstream.entry.address)
+
     async def run(
         self,
         progress: call_progress.Progress,
@@ -161,13 +165,22 @@
         """
         call = progress.call
         send_task = self._tasks.spawn(self._link.send(call, attempt))
+        awaited = {send_task}
+        if progress.withdrawn is not None:
+            awaited.add(progress.withdrawn)
         try:
             while True:
                 done, _ = await asyncio.wait(
-                    {send_task}, timeout=const.SILENCE_CHECK_PERIOD_S
+                    awaited,
+                    timeout=const.SILENCE_CHECK_PERIOD_S,
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
-                if done:
+                if send_task in done:
                     return send_task.result()
+                if done:
+                    raise errors.UpstreamError(
+                        errors.Failure.WITHDRAWN, "part quarantined", True
+                    )
                 silent_s = upstream.overdue_s(call.request_id, self._now())
                 if silent_s > 0 and observer is not None:
                     observer.on_overdue(silent_s)
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -14,6 +14,7 @@
 from bergamotmill.control import membership as fleet_membership
 from bergamotmill.control import order_lease
 from bergamotmill.control import peers as peer_links
+from bergamotmill.control import quarantine
 from bergamotmill.dispatch import config
 from bergamotmill.dispatch import const
 from bergamotmill.dispatch import directory
@@ -78,6 +79,7 @@
         router_value: encodes a router's registration.
         lease_key: store key of the lease for orders.
         handover_key: store key of the handover record.
+        quarantine_prefix: prefix of the store keys of quarantine entries.
         make_front_handler: makes the handler of callers' requests.
         make_directory_handler: makes the handler of router address lookups.
         make_ready_handler: makes the handler of readiness checks.
@@ -90,6 +92,7 @@
     router_value: Callable[[fleet_state.RouterEntry], bytes]
     lease_key: str
     handover_key: str
+    quarantine_prefix: str
     make_front_handler: Callable[
         [fleet_state.Fleet, call_dispatcher.Dispatcher, Callable[[], float]],
         http_server.Handler,
@@ -223,6 +226,19 @@
             self._clock,
             self._rng,
         )
+        self.quarantine = quarantine.Quarantine(
+            quarantine.QuarantineLinks(
+                own.name,
+                self._messages.send,
+                self._other_routers,
+                self._store,
+                self._dialect.quarantine_prefix,
+                self._revision_of,
+                lambda: self.feed.since_restore_s < const.RESTORE_QUERY_S,
+            ),
+            self._clock,
+            self._rng,
+        )
         self.feed.add_listener(self._on_document)
 
     def _build_dispatch(self, factories: Factories) -> None:
@@ -282,6 +298,7 @@
             attempt_planner,
             self._placer,
             self._budget_of,
+            self.quarantine,
             call_dispatcher.ProcessContext(
                 self.seconds_until_exit,
                 self.metrics,
@@ -328,6 +345,9 @@
             "replies": self._on_reply,
             "results": self._on_outcome,
             "weights": self._apply_weights_notice,
+            "crashes": self.quarantine.on_crash_report,
+            "answers": self.quarantine.on_answers_report,
+            "quarantine": self.quarantine.on_notice,
         }.items():
             self._messages.listen(field, listener)
         self._peer_server = factories.make_peer_server(
@@ -347,6 +367,7 @@
             "requests_waiting": float(self.dispatcher.held_count),
             "response_bytes_buffered": float(self.dispatcher.buffered_bytes),
             "asks_waiting": float(self._placement_owner.waiting_count),
+            "prompt_parts_quarantined": float(self.quarantine.entry_count),
             "holds_lease": float(self.rollout.holds_lease),
             "child_restarts": float(self._supervisor.restarts),
         }
@@ -465,13 +486,22 @@
         decisions.record("handover", kept=stored.is_ok())
 
     def _on_document(self, document: documents.Document, source: str) -> None:
-        del source
+        self.quarantine.on_document(
+            document.key, document.value, document.revision, source
+        )
         if document.key == self._dialect.lease_key:
             held = document.value is not None
             self.rollout.on_lease_changed(document.revision, held)
         elif document.key == self._dialect.handover_key and document.value:
             self.rollout.on_handover(document.value)
 
+    def _revision_of(self, key: str) -> int:
+        """Returns the revision of a key as last read; 0 if it has none."""
+        document = self.feed.document(key)
+        if document is None or document.value is None:
+            return 0
+        return document.revision
+
     def _peer_address(self, name: str) -> str:
         return self.membership.peer_address(name)
 
@@ -533,6 +563,7 @@
             "ages": self._run_age_requests,
             "lease": self.rollout.run_lease,
             "rollout": self.rollout.run,
+            "quarantine": self.quarantine.run,
         }
         for name, child in children.items():
             self._supervisor.start_child(name, child)
@@ -665,6 +696,7 @@
         await self.dispatcher.close()
         self._placement_owner.close()
         await self.notices.close()
+        await self.quarantine.close()
         await self.feed.close()
         await self._messages.close()
         self.fleet.close()
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from bergamotmill.control import quarantine
 from bergamotmill.dispatch import attempt_runner
 from bergamotmill.dispatch import config
 from bergamotmill.dispatch import const
@@ -23,6 +24,7 @@
 from bergamotmill.dispatch import waiting
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import metrics as stats
+from bergamotmill.routing import prompt_quarantine
 from bergamotmill.routing import window_budget
 from bergamotmill.upstream import errors
 from bergamotmill.util import tasks as background
@@ -31,6 +33,8 @@
 LEAVING_RETRY_AFTER_S = 0.02
 # Failures after which a run may continue from the standby's KV copy.
 _CONTINUABLE_FAILURES = (errors.Failure.LOST, errors.Failure.SILENT)
+# Failures that say nothing against the upstream.
+_BLAMELESS_FAILURES = (errors.Failure.REFUSED, errors.Failure.WITHDRAWN)
 # Failures that eject an upstream at once.
 _EJECTING_FAILURES = (errors.Failure.CONNECT, errors.Failure.SILENT)
 
@@ -79,6 +83,7 @@
         attempt_planner: planner.Planner,
         placer: placement_client.PlacementClient,
         budget_of: Callable[[str], window_budget.WindowBudget],
+        prompts: quarantine.Quarantine,
         process: ProcessContext,
     ):
         """Makes a dispatcher.
@@ -89,6 +94,7 @@
             attempt_planner: plans attempts.
             placer: chooses upstreams.
             budget_of: returns the retry budget of a service.
+            prompts: holds back prompts that crash engines.
             process: clock, metrics and other process-wide objects.
         """
         self._fleet = fleet
@@ -96,6 +102,10 @@
         self._planner = attempt_planner
         self._placer = placer
         self._budget_of = budget_of
+        self._prompts = prompts
+        prompts.add_listener(self._withdraw_attempts)
+        # The calls whose present attempt has no response yet, by request id.
+        self._unanswered: dict[str, call_progress.Progress] = {}
         self._seconds_until_exit = process.seconds_until_exit
         self._metrics = process.metrics
         self._now = process.now
@@ -216,6 +226,9 @@
         while True:
             if call.deadline - self._now() < const.MIN_ATTEMPT_S:
                 return self._rejection_of(progress, "no_time")
+            rejection = await self._quarantine_rejection(progress)
+            if rejection is not None:
+                return rejection
             placed = await self._placer.place(progress, service)
             choice = placed.choice
             if choice is None:
@@ -241,6 +254,8 @@
                 )
             if verdict is waiting.Verdict.HOLD:
                 continue
+            if self._blocking(progress):
+                continue
             if progress.attempts_sent and not budget.try_take(self._now()):
                 return self._rejection_of(
                     progress, "retry_budget", self._retry_after_s()
@@ -257,7 +272,9 @@
                 may_repeat = self._record_failure(
                     progress, choice.best.upstream, err
                 )
-                await self._check_end(progress, choice.best.upstream, err)
+                if err.failure is errors.Failure.LOST:
+                    await self._note_loss(progress, choice.best.upstream)
+                progress.trial_of = ""
                 if may_repeat:
                     continue
                 if await self._continue_at_standby(progress, sink, choice, err):
@@ -332,17 +349,26 @@
         sink: ports.Sink,
         choice: placement.Choice,
     ) -> None:
+        call = progress.call
         attempt = self._planner.plan(progress, choice)
         records.log_choice(progress, choice, attempt, self._now())
         upstream = choice.best.upstream
-        status = await self._attempt_runner.run(
-            progress,
-            sink,
-            upstream,
-            attempt,
-            self._planner.workload(choice),
-            _ChoiceObserver(self._placer, choice),
-        )
+        if progress.prompt is not None:
+            progress.withdrawn = asyncio.get_running_loop().create_future()
+            self._unanswered[call.request_id] = progress
+        try:
+            status = await self._attempt_runner.run(
+                progress,
+                sink,
+                upstream,
+                attempt,
+                self._planner.workload(choice),
+                _ChoiceObserver(self._placer, choice),
+            )
+        finally:
+            self._unanswered.pop(call.request_id, None)
+        if progress.prompt is not None and progress.answer_began_at is not None:
+            self._prompts.note_answer(progress.prompt)
         self._record_outcome(progress, "answered", status, upstream.entry.name)
 
     async def _continue_at_standby(
@@ -414,32 +440,79 @@
             return "the retry budget is exhausted"
         return ""
 
-    async def _check_end(
-        self,
-        progress: call_progress.Progress,
-        upstream: upstreams.Upstream,
-        err: errors.UpstreamError,
+    def _blocking(
+        self, progress: call_progress.Progress
+    ) -> list[prompt_quarantine.Entry]:
+        """Returns the quarantine entries that hold a call back."""
+        if progress.prompt is None:
+            return []
+        return [
+            entry
+            for entry in self._prompts.blocking(progress.prompt)
+            if entry.key != progress.trial_of
+        ]
+
+    async def _quarantine_rejection(
+        self, progress: call_progress.Progress
+    ) -> messages.Rejection | None:
+        """Rejects a call whose prompt crashes engines, unless it is a trial."""
+        entries = self._blocking(progress)
+        if not entries:
+            return None
+        entry = entries[0]
+        may_be_trial = len(entries) == 1 and not progress.attempts_sent
+        if may_be_trial and await self._prompts.claim_trial(entry):
+            progress.trial_of = entry.key
+            return None
+        progress.last_error = f"quarantine {entry.key}"
+        return self._rejection_of(
+            progress, "prompt_quarantined", self._prompts.retry_after_s(entry)
+        )
+
+    def _withdraw_attempts(self, entry: prompt_quarantine.Entry) -> None:
+        """Gives up attempts that would crash their engines, too."""
+        for progress in list(self._unanswered.values()):
+            withdrawn = progress.withdrawn
+            if (
+                entry.blocks(progress.prompt)
+                and progress.trial_of != entry.key
+                and not withdrawn.done()
+            ):
+                withdrawn.set_result(None)
+
+    async def _note_loss(
+        self, progress: call_progress.Progress, upstream: upstreams.Upstream
     ) -> None:
-        """Finds out whether an engine ended before it began an answer.
+        """Records what a lost connection says of the call's prompt.
 
-        A connection can also be lost while the engine goes on; one that has
-        ended refuses new connections.
+        A connection can be lost while the engine goes on; one that has ended
+        refuses new connections.
         """
-        call = progress.call
+        if progress.prompt is None:
+            return
+        began_at = progress.answer_began_at
         if (
-            call.generation is None
-            or err.failure is not errors.Failure.LOST
-            or progress.answer_began_at is not None
-            or not await self._attempt_runner.refuses_connections(upstream)
+            began_at is not None
+            and self._now() - began_at >= quarantine.SETTLED_ANSWER_S
+        ):
+            self._prompts.note_answer(progress.prompt)
+            return
+        accepts_work = self._fleet.upstreams.accepts_work(upstream)
+        if not accepts_work or not await self._attempt_runner.has_ended(
+            upstream
         ):
             return
+        entry = upstream.entry
         self._metrics.count("upstream.ended")
         decisions.record(
             "upstream_ended",
-            request=call.request_id,
-            upstream=upstream.entry.name,
-            born=upstream.entry.born,
-            parts=sorted(call.generation.shared_parts),
+            request=progress.call.request_id,
+            upstream=entry.name,
+            born=entry.born,
+            parts=sorted(progress.prompt.parts),
+        )
+        await self._prompts.note_crash(
+            progress.prompt, prompt_quarantine.Crash(entry.name, entry.born)
         )
 
     def _record_failure(
@@ -450,7 +523,7 @@
     ) -> bool:
         """Records a failed attempt; True when another attempt is allowed."""
         progress.last_error = str(err)
-        if err.failure is not errors.Failure.REFUSED:
+        if err.failure not in _BLAMELESS_FAILURES:
             eject_at_once = err.failure in _EJECTING_FAILURES
             if upstream.note_failure(self._now(), eject_at_once):
                 decisions.record(
--- a/bergamotmill/dispatch/ports.py
+++ b/bergamotmill/dispatch/ports.py
@@ -82,5 +82,11 @@
     async def is_reachable(self, address: str) -> bool:
         """Whether an upstream accepts a new connection."""
 
+    async def has_ended(self, address: str) -> bool:
+        """Whether an upstream has ended: a new connection is refused.
+
+        One that does not answer at all may go on out of reach.
+        """
+
     def close_idle(self, address: str) -> None:
         """Closes idle connections to an address."""
--- a/bergamotmill/dispatch/progress.py
+++ b/bergamotmill/dispatch/progress.py
@@ -1,8 +1,11 @@
 """State of a call across all its attempts."""
 
+import asyncio
+
 from bergamotmill.dispatch import messages
 from bergamotmill.dispatch import standby
 from bergamotmill.helpers import run_state
+from bergamotmill.routing import prompt_quarantine
 
 
 class Progress:
@@ -25,6 +28,11 @@
         answer_began_at: monotonic time of the first event that the present
             upstream sent; None before it, and for plain responses.
         standby: engine that keeps a copy of the run's KV memory.
+        prompt: parts of the prompt that other requests may have, too; None for
+            other requests than generations.
+        withdrawn: set to give up the present attempt; None if it cannot be.
+        trial_of: key of the quarantine entry in spite of which the present
+            attempt is made; empty for none.
     """
 
     def __init__(self, call: messages.Call):
@@ -40,6 +48,15 @@
         self.last_data_at = 0.0
         self.answer_began_at: float | None = None
         self.standby: standby.Standby | None = None
+        self.prompt: prompt_quarantine.Prompt | None = None
+        if call.generation is not None:
+            self.prompt = prompt_quarantine.make_prompt(
+                call.generation.model,
+                call.generation.shared_parts,
+                call.customer_name,
+            )
+        self.withdrawn: asyncio.Future[None] | None = None
+        self.trial_of = ""
 
     @property
     def standby_address(self) -> str:
--- a/bergamotmill/platform/const.py
+++ b/bergamotmill/platform/const.py
@@ -21,6 +21,7 @@
 PREFIX_ROUTERS = "routers/"
 KEY_ORDER_LEASE = "orders/holder"
 KEY_HANDOVER = "orders/handover"
+PREFIX_QUARANTINE = "quarantine/"
 
 # Paths that the router serves.
 PATH_READY = "/bergamotmill/readiness"
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -89,6 +89,15 @@
         conn.close()
         return True
 
+    async def has_ended(self, address: str) -> bool:
+        """Whether a replica has ended: a new connection is refused."""
+        try:
+            conn = await self._pool.acquire(address, fresh=True)
+        except http_errors.ConnectError as err:
+            return isinstance(err.__cause__, ConnectionRefusedError)
+        conn.close()
+        return False
+
     async def send(
         self, call: messages.Call, attempt: messages.Attempt
     ) -> ReplicaResponse:
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -477,9 +477,9 @@
                 return
             self._write(exchange, EVENT_FORMAT % (number, number))
             await exchange.drain()
-            if self.faults.pause_after_start_s and not run.answered:
+            is_first, run.answered = not run.answered, True
+            if is_first and self.faults.pause_after_start_s:
                 await asyncio.sleep(self.faults.pause_after_start_s)
-            run.answered = True
         # An unframed answer ends when the connection closes after this.
         if not self.faults.unframed:
             exchange.finish()
--- a/bergamotmill/upstream/errors.py
+++ b/bergamotmill/upstream/errors.py
@@ -19,6 +19,8 @@
         BROKEN: the response is malformed, too large or has an unexpected
             status.
         FAILED: the upstream returned a 5xx status and a retry is allowed.
+        WITHDRAWN: the router gave the attempt up, as parts of its prompt were
+            quarantined.
     """
 
     CONNECT = "connect"
@@ -31,6 +33,7 @@
     BAD_REQUEST = "bad_request"
     BROKEN = "broken"
     FAILED = "failed"
+    WITHDRAWN = "withdrawn"
 
 
 class UpstreamError(Exception):
--- a/tests/dispatch/test_crashing_prompts.py
+++ b/tests/dispatch/test_crashing_prompts.py
@@ -17,7 +17,7 @@
 CRASHING_PER_S = 3.0
 REPEAT_PROBABILITY = 0.5
 CALM_S = 8.0
-PLAY_S = 32.0
+PLAY_S = 48.0
 
 
 class CrashingPromptsTest(platform_case.PlatformCase):
