--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 import dataclasses
 import random
 
@@ -86,6 +86,11 @@
         self._tasks = background.Tasks()
         self._store_lock = asyncio.Lock()
 
+    @property
+    def entries(self) -> Mapping[str, prompt_quarantine.Entry]:
+        """The entries in force, by key."""
+        return self._state.entries
+
     @property
     def entry_count(self) -> int:
         """Number of entries in force."""
--- a/bergamotmill/standin/platform/fleet.py
+++ b/bergamotmill/standin/platform/fleet.py
@@ -148,8 +148,8 @@
     """Starts and stops the parts of the platform and its routers.
 
     Attributes:
-        crashes: time and name of each replica that a prompt crashed.
-        crashed: the replicas that crashed.
+        crashes: time and name of each replica that ended for a time.
+        crashed: these replicas.
     """
 
     def __init__(
@@ -213,13 +213,13 @@
             slots=64 if engine else 6,
             **options,
         )
-        standin.on_crash = self._on_crash
+        standin.on_crash = self.crash_for_a_time
         self.replica_set.add(standin)
         await self.run_as_host(host, standin.start())
         return standin
 
-    def _on_crash(self, standin: replica.ReplicaStandIn) -> None:
-        """Ends a replica that a prompt crashed; it is back after some time."""
+    def crash_for_a_time(self, standin: replica.ReplicaStandIn) -> None:
+        """Ends a replica, which is back under another name after some time."""
         if self.replicas.pop(standin.name, None) is None:
             return
         now = asyncio.get_running_loop().time()
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -75,6 +75,8 @@
         unframed: whether answers have neither a length nor chunks and end with
             their connection.
         end_after_head: whether unframed answers end after their head.
+        reset_before_answer: whether engines cut the connection instead of
+            answering, and go on.
         pause_after_start_s: pause within unframed answers, after their first
             bytes, in seconds.
     """
@@ -93,6 +95,7 @@
     crash_part: str = ""
     unframed: bool = False
     end_after_head: bool = False
+    reset_before_answer: bool = False
     pause_after_start_s: float = 0.0
 
 
@@ -441,6 +444,9 @@
                 await self._stay_silent(exchange)
             if exchange.disconnected:
                 run.outcome = "left"
+            elif self.faults.reset_before_answer:
+                run.outcome = "lost"
+                exchange.abort()
             elif self.faults.crash_part in run.parts[:-1]:
                 run.outcome = "crashed"
                 self.on_crash(self)
