Quarantine: a part that returns with other parts is found alone

Messages go to all routers that are not known to be dead, also to those that membership has not probed yet: after a start, reports reached 2 of 6 routers.

--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -230,7 +230,7 @@
             quarantine.QuarantineLinks(
                 own.name,
                 self._messages.send,
-                self._other_routers,
+                self.membership.other_names,
                 self._store,
                 self._dialect.quarantine_prefix,
                 self._revision_of,
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -318,10 +318,12 @@
         )
 
     def _open_crashes(self, part: Part, now: float) -> frozenset[Crash]:
-        """Returns the crashes on a part that no entry explains."""
+        """Returns the crashes on a part that no entry of others explains."""
+        model, name = part
         crashes = self._crashes.of(part, now)
         for entry in self._entries.values():
-            if not entry.contested:
+            is_own = entry.model == model and name in entry.parts
+            if not is_own and not entry.contested:
                 crashes -= entry.crashes
         return crashes
 
--- a/tests/routing/test_prompt_quarantine.py
+++ b/tests/routing/test_prompt_quarantine.py
@@ -137,6 +137,11 @@
         self.assertTrue(self.blocks("bad", "rare", "sys"))
         self.assertFalse(self.blocks("rare"))
 
+    def test_part_that_comes_again_with_another_is_quarantined_alone(self):
+        self.crash(1, "bad", "rare")
+        self.crash(2, "bad", "rare")
+        self.assertEqual(self.crash(3, "bad", "scarce").parts, {"bad"})
+
     def test_answer_on_one_of_them_leaves_the_other(self):
         self.crash(1, "bad", "rare")
         self.crash(2, "bad", "rare")
