Own interface: prompts that crash engines are held back, too

The same cause was found in our own interface: a chat that crashed its engine was continued on up to MAX_RECOVERIES others. The decision (admit, note_loss) now stands once, in control/quarantine.py, and serves both forwarding paths; a chat's parts are its messages but the last one. A reader of the store's documents takes the place of the platform's feed, operators get 'bergamotmill quarantine list|clear', and structured log lines show their fields in both log formats.

Also found there: EngineClient.open_stream sent a request again after any loss, and reported one that was lost with its engine as not sent. It is sent again only if the connection had been idle, and a loss followed by a refused connection remains a loss.

--- a/bergamotmill/cli/main.py
+++ b/bergamotmill/cli/main.py
@@ -41,6 +41,7 @@
   bergamotmill release diff note.json
   bergamotmill release publish note.json
   bergamotmill status
+  bergamotmill quarantine list
   bergamotmill explain 3f2a...
   bergamotmill explain 9c41d07be2a35f68 router-*.log
   bergamotmill report router-*.log --to day.html
@@ -99,6 +100,16 @@
     )
     audit.add_argument("--count", type=int, default=20)
     _add_common_arguments(audit)
+    prompts = commands.add_parser(
+        "quarantine", help="list the prompts held back, or serve one again"
+    )
+    prompts_actions = prompts.add_subparsers(dest="action", required=True)
+    _add_common_arguments(
+        prompts_actions.add_parser("list", help="list the entries")
+    )
+    clear = prompts_actions.add_parser("clear", help="end one entry")
+    clear.add_argument("key", help="key of the entry, as listed")
+    _add_common_arguments(clear)
     explain = commands.add_parser(
         "explain", help="show why a replica was chosen"
     )
@@ -251,6 +262,16 @@
     return status
 
 
+def _quarantine(arguments: argparse.Namespace) -> int:
+    if arguments.action == "list":
+        return _request_and_print(arguments, "/quarantine", show.quarantine)
+    key = urllib.parse.quote(arguments.key)
+    status, value = _request(arguments, "POST", f"/quarantine/clear?key={key}")
+    if value is not None:
+        print(json.dumps(value) if arguments.json else f"{key} is cleared.")
+    return status
+
+
 def _request_and_print(
     arguments: argparse.Namespace, target: str, print_response
 ) -> int:
@@ -279,6 +300,8 @@
         return _request_and_print(
             arguments, f"/audit?count={arguments.count}", show.audit
         )
+    if arguments.command == "quarantine":
+        return _quarantine(arguments)
     if arguments.command == "report":
         return report.write(arguments.logs, arguments.to)
     if arguments.logs:
--- a/bergamotmill/cli/show.py
+++ b/bergamotmill/cli/show.py
@@ -117,3 +117,20 @@
             f"  {candidate['replica']:>10} "
             + " ".join(f"{cell:>10}" for cell in cells)
         )
+
+
+def quarantine(value: dict[str, Any], now: float) -> None:
+    """Prints the prompts that are held back."""
+    if not value["entries"]:
+        print("no prompt is quarantined")
+    for entry in value["entries"]:
+        wait_s = max(0.0, entry["next_trial"] - now)
+        print(
+            f"{entry['key']}  since {_format_time(entry['since'])}  "
+            f"{entry['model']}  customer {entry['customer']}"
+        )
+        print(f"  parts {', '.join(entry['parts'])}")
+        print(
+            f"  engines ended: {', '.join(entry['crashes'])}; "
+            f"{entry['trials']} trials, the next in {wait_s:.0f} s"
+        )
--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 import dataclasses
 import random
 
@@ -64,6 +64,34 @@
     is_restored: Callable[[], bool]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admission:
+    """Whether a request may be sent as far as its prompt is concerned.
+
+    Attributes:
+        held_by: the entry that holds it back; None if it may be sent.
+        trial_of: key of the entry in spite of which it is sent; empty for none.
+    """
+
+    held_by: prompt_quarantine.Entry | None = None
+    trial_of: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostAttempt:
+    """An attempt whose connection was lost.
+
+    Attributes:
+        crash: the replica and its incarnation.
+        answered_s: seconds since its first event arrived; None without one.
+        has_ended: finds out whether the replica refuses new connections.
+    """
+
+    crash: prompt_quarantine.Crash
+    answered_s: float | None
+    has_ended: Callable[[], Awaitable[bool]]
+
+
 class Quarantine:
     """The quarantine of one router, kept in step with those of the others."""
 
@@ -100,11 +128,46 @@
         """Calls the listener with each entry that comes into force."""
         self._listeners.append(listener)
 
-    def blocking(
-        self, prompt: prompt_quarantine.Prompt
+    def holding(
+        self, prompt: prompt_quarantine.Prompt, trial_of: str = ""
     ) -> list[prompt_quarantine.Entry]:
-        """Returns the entries that hold a prompt back."""
-        return self._state.blocking(prompt)
+        """Returns the entries that hold a prompt back.
+
+        Args:
+            prompt: the prompt.
+            trial_of: key of an entry that does not count.
+        """
+        return [
+            entry
+            for entry in self._state.blocking(prompt)
+            if entry.key != trial_of
+        ]
+
+    async def admit(
+        self,
+        prompt: prompt_quarantine.Prompt,
+        may_be_trial: bool,
+        trial_of: str = "",
+    ) -> Admission:
+        """Decides whether a request with a prompt may be sent.
+
+        Args:
+            prompt: its prompt.
+            may_be_trial: whether it may be sent in spite of an entry whose next
+                trial is due.
+            trial_of: key of the entry of which it is the trial already.
+        """
+        entries = self.holding(prompt, trial_of)
+        if not entries:
+            return Admission(None, trial_of)
+        entry = entries[0]
+        if (
+            len(entries) == 1
+            and may_be_trial
+            and await self._begin_trial(entry)
+        ):
+            return Admission(None, entry.key)
+        return Admission(entry)
 
     def retry_after_s(self, entry: prompt_quarantine.Entry) -> float:
         """Returns after how many seconds a request held back may be tried."""
@@ -115,23 +178,50 @@
         """Records that a replica answered a prompt."""
         clearances = self._state.record_answer(prompt, self._clock.monotonic())
         for item in clearances:
-            self._clear(item.entry, "answered", self._links.own_name)
-            self._to_remove.add(item.entry.key)
-            self._broadcast_entry(item.entry, cleared=True)
+            self._end(item.entry, "answered")
             if item.successor is not None:
                 self._put_in_force(item.successor)
-        if clearances:
-            self._tasks.spawn(self._synchronize())
 
-    async def note_crash(
+    def clear(self, key: str, operator: str) -> bool:
+        """Ends an entry as an operator asked; False if there is none."""
+        entry = self._state.entries.get(key)
+        if entry is None:
+            return False
+        self._end(entry, f"operator {operator}")
+        return True
+
+    def _end(self, entry: prompt_quarantine.Entry, reason: str) -> None:
+        """Ends an entry, and tells peers and the store."""
+        self._clear(entry, reason, self._links.own_name)
+        self._to_remove.add(entry.key)
+        self._broadcast_entry(entry, cleared=True)
+        self._tasks.spawn(self._synchronize())
+
+    async def note_loss(
+        self, prompt: prompt_quarantine.Prompt, lost: LostAttempt
+    ) -> bool:
+        """Records what a lost connection says of a prompt.
+
+        A connection can be lost while the replica goes on. Returns when what
+        peers know of the prompt has been considered.
+
+        Returns:
+            Whether the replica ended before it answered.
+        """
+        if lost.answered_s is not None and lost.answered_s >= SETTLED_ANSWER_S:
+            self.note_answer(prompt)
+            return False
+        if not await lost.has_ended():
+            return False
+        await self._note_crash(prompt, lost.crash)
+        return True
+
+    async def _note_crash(
         self,
         prompt: prompt_quarantine.Prompt,
         crash: prompt_quarantine.Crash,
     ) -> None:
-        """Records that a replica ended before it answered a prompt.
-
-        Returns when what peers know of the prompt has been considered.
-        """
+        """Records that a replica ended before it answered a prompt."""
         blocking = self._state.blocking(prompt)
         if blocking:
             for entry in blocking:
@@ -246,7 +336,7 @@
         self._apply(decoded.ok(), source)
         return decoded.ok()
 
-    async def claim_trial(self, entry: prompt_quarantine.Entry) -> bool:
+    async def _begin_trial(self, entry: prompt_quarantine.Entry) -> bool:
         """Whether this router may send one request in spite of an entry.
 
         Only one router of the fleet may, and only while the store answers.
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -254,7 +254,7 @@
                 )
             if verdict is waiting.Verdict.HOLD:
                 continue
-            if self._blocking(progress):
+            if self._is_held_back(progress):
                 continue
             if progress.attempts_sent and not budget.try_take(self._now()):
                 return self._rejection_of(
@@ -440,29 +440,25 @@
             return "the retry budget is exhausted"
         return ""
 
-    def _blocking(
-        self, progress: call_progress.Progress
-    ) -> list[prompt_quarantine.Entry]:
-        """Returns the quarantine entries that hold a call back."""
-        if progress.prompt is None:
-            return []
-        return [
-            entry
-            for entry in self._prompts.blocking(progress.prompt)
-            if entry.key != progress.trial_of
-        ]
+    def _is_held_back(self, progress: call_progress.Progress) -> bool:
+        """Whether a call's prompt was quarantined since it was admitted."""
+        prompt = progress.prompt
+        return prompt is not None and bool(
+            self._prompts.holding(prompt, progress.trial_of)
+        )
 
     async def _quarantine_rejection(
         self, progress: call_progress.Progress
     ) -> messages.Rejection | None:
         """Rejects a call whose prompt crashes engines, unless it is a trial."""
-        entries = self._blocking(progress)
-        if not entries:
+        if progress.prompt is None:
             return None
-        entry = entries[0]
-        may_be_trial = len(entries) == 1 and not progress.attempts_sent
-        if may_be_trial and await self._prompts.claim_trial(entry):
-            progress.trial_of = entry.key
+        admission = await self._prompts.admit(
+            progress.prompt, not progress.attempts_sent, progress.trial_of
+        )
+        progress.trial_of = admission.trial_of
+        entry = admission.held_by
+        if entry is None:
             return None
         progress.last_error = f"quarantine {entry.key}"
         return self._rejection_of(
@@ -483,26 +479,26 @@
     async def _note_loss(
         self, progress: call_progress.Progress, upstream: upstreams.Upstream
     ) -> None:
-        """Records what a lost connection says of the call's prompt.
-
-        A connection can be lost while the engine goes on; one that has ended
-        refuses new connections.
-        """
+        """Records what a lost connection says of the call's prompt."""
         if progress.prompt is None:
             return
-        began_at = progress.answer_began_at
-        if (
-            began_at is not None
-            and self._now() - began_at >= quarantine.SETTLED_ANSWER_S
-        ):
-            self._prompts.note_answer(progress.prompt)
-            return
-        accepts_work = self._fleet.upstreams.accepts_work(upstream)
-        if not accepts_work or not await self._attempt_runner.has_ended(
-            upstream
-        ):
+        if not self._fleet.upstreams.accepts_work(upstream):
+            # It was about to end anyway.
             return
         entry = upstream.entry
+        answered_s = None
+        if progress.answer_began_at is not None:
+            answered_s = self._now() - progress.answer_began_at
+        ended = await self._prompts.note_loss(
+            progress.prompt,
+            quarantine.LostAttempt(
+                prompt_quarantine.Crash(entry.name, entry.born),
+                answered_s,
+                lambda: self._attempt_runner.has_ended(upstream),
+            ),
+        )
+        if not ended:
+            return
         self._metrics.count("upstream.ended")
         decisions.record(
             "upstream_ended",
@@ -511,9 +507,6 @@
             born=entry.born,
             parts=sorted(progress.prompt.parts),
         )
-        await self._prompts.note_crash(
-            progress.prompt, prompt_quarantine.Crash(entry.name, entry.born)
-        )
 
     def _record_failure(
         self,
--- a/bergamotmill/front/operators.py
+++ b/bergamotmill/front/operators.py
@@ -7,11 +7,13 @@
 from typing import Any, Protocol
 
 from bergamotmill import core
+from bergamotmill.control import quarantine
 from bergamotmill.control import release_manager
 from bergamotmill.control import release_store
 from bergamotmill.helpers import findings
 from bergamotmill.helpers import http_server
 from bergamotmill.routing import explain
+from bergamotmill.routing import prompt_quarantine
 from bergamotmill.storage import key_value
 from bergamotmill.util import registry
 
@@ -23,6 +25,8 @@
 PATH_PUBLISH = "/release/publish"
 PATH_SHOW = "/release/show"
 PATH_METRICS = "/metrics"
+PATH_QUARANTINE = "/quarantine"
+PATH_CLEAR = "/quarantine/clear"
 DEFAULT_AUDIT_LINES = 20
 MAX_AUDIT_LINES = 500
 
@@ -55,11 +59,13 @@
         releases: release_manager.ReleaseManager,
         explanations: explain.ExplanationLog,
         source: StatusSource,
+        prompts: quarantine.Quarantine,
     ):
         self._key_digests = key_digests
         self.releases = releases
         self.explanations = explanations
         self.source = source
+        self.prompts = prompts
 
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Serves one operator's request."""
@@ -144,6 +150,36 @@
     )
 
 
+@ROUTES.register(PATH_QUARANTINE)
+async def _quarantine(front, exchange, operator) -> None:
+    del operator
+    entries = [
+        {
+            "key": key,
+            "model": entry.model,
+            "parts": sorted(entry.parts),
+            "customer": entry.customer,
+            "since": entry.since_ms / prompt_quarantine.MS_PER_S,
+            "crashes": sorted(crash.replica for crash in entry.crashes),
+            "trials": entry.trials,
+            "next_trial": entry.next_trial_at,
+        }
+        for key, entry in sorted(front.prompts.entries.items())
+    ]
+    exchange.respond_json(200, {"entries": entries})
+
+
+@ROUTES.register(PATH_CLEAR)
+async def _clear(front, exchange, operator) -> None:
+    key = exchange.request.query.get("key", "")
+    if exchange.request.method != "POST":
+        exchange.respond_json(405, {"error": "only POST clears an entry"})
+    elif front.prompts.clear(key, operator):
+        exchange.respond_json(200, {"cleared": key})
+    else:
+        exchange.respond_json(404, {"error": f"no quarantine entry {key!r}"})
+
+
 @ROUTES.register(PATH_CHECK)
 async def _check(front, exchange, operator) -> None:
     del operator
--- a/bergamotmill/helpers/logs.py
+++ b/bergamotmill/helpers/logs.py
@@ -11,6 +11,14 @@
 MAX_PENDING_BYTES = 256 * 1024
 
 TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level: <7} {message}"
+# Fields of a structured line follow its message.
+TEXT_FORMAT_FIELDS = TEXT_FORMAT + " {extra}"
+
+
+def _text_format(record) -> str:
+    """Returns the format of a line; only structured ones have fields."""
+    text = TEXT_FORMAT_FIELDS if record["extra"] else TEXT_FORMAT
+    return text + "\n{exception}"
 
 
 def _write_json(message) -> None:
@@ -22,6 +30,7 @@
         "level": record["level"].name,
         "part": part if text else "",
         "message": text or part,
+        **record["extra"],
     }
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
@@ -37,7 +46,7 @@
         loguru.logger.add(
             sys.stderr,
             level=level,
-            format=TEXT_FORMAT,
+            format=_text_format,
             backtrace=False,
             diagnose=False,
         )
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -19,6 +19,8 @@
 from bergamotmill.control import order_lease
 from bergamotmill.control import orders as engine_orders
 from bergamotmill.control import peers as peer_links
+from bergamotmill.control import quarantine
+from bergamotmill.control import quarantine_reader
 from bergamotmill.control import release_manager
 from bergamotmill.control import release_store
 from bergamotmill.filings import claims as filing_claims
@@ -29,10 +31,12 @@
 from bergamotmill.front import operators
 from bergamotmill.helpers import http_server
 from bergamotmill.helpers import metrics as stats
+from bergamotmill.proto import peer_pb2
 from bergamotmill.routing import admission
 from bergamotmill.routing import decision as routing_decision
 from bergamotmill.routing import messages as routing_messages
 from bergamotmill.routing import notices as routing_notices
+from bergamotmill.routing import prompt_quarantine
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.settings import config
 from bergamotmill.storage import key_value
@@ -47,10 +51,14 @@
 from bergamotmill.util import clock as clocks
 from bergamotmill.util import ids as id_source
 from bergamotmill.util import rendezvous
+from bergamotmill.util import tasks as background
 
 # Prefix of the lease's key in the store, and the hash key that ranks routers as
 # candidates for the lease.
 ORDERS_KEY = "orders"
+# Prefix of the quarantine's keys in the store.
+QUARANTINE_KEY = "quarantine"
+NOTIFY_TIMEOUT_S = 0.5
 # Network latency to a replica, added to its predicted time to first token.
 SAME_DATA_CENTRE_LATENCY_S = 0.0005
 OTHER_DATA_CENTRE_LATENCY_S = 0.0015
@@ -88,6 +96,7 @@
         self._incarnation = incarnation
         self._ids = id_source.IdSource(rng)
         self._supervisor = supervisor.Supervisor("router", rng)
+        self._tasks = background.Tasks()
         self._metrics = stats.Metrics(settings.statsd_address)
         self.history = fleet_history.History(clock.wall)
         self._vm_list = vm_list.VmListCoordinator(vm_source, rng)
@@ -159,6 +168,27 @@
             clock.monotonic,
             self._rng,
         )
+        prefix = f"{self._settings.key_value.prefix}/{QUARANTINE_KEY}/"
+        self._quarantine_reader = quarantine_reader.QuarantineReader(
+            self._key_value_store,
+            prefix,
+            lambda: len(self.membership.alive()),
+            self._rng,
+        )
+        self.quarantine = quarantine.Quarantine(
+            quarantine.QuarantineLinks(
+                self._settings.router.name,
+                self._send_notify,
+                self.membership.other_names,
+                self._key_value_store,
+                prefix,
+                self._quarantine_reader.revision,
+                lambda: False,
+            ),
+            clock,
+            self._rng,
+        )
+        self.quarantine.add_listener(self._withdraw_attempts)
         self.streams = stream_context.StreamContext(
             self._settings,
             self._incarnation,
@@ -167,6 +197,7 @@
             self._engines.clients,
             self._offload_stores,
             self.notices,
+            self.quarantine,
             self._metrics,
             clock.monotonic,
         )
@@ -248,6 +279,7 @@
             self.release_manager,
             self.streams.explanations,
             self.status,
+            self.quarantine,
         )
         self._servers = [
             http_server.HttpServer(settings.router.front, self.front.handle),
@@ -270,13 +302,41 @@
             "File": self.filings.serve_peer,
             "Tail": streaming.serve_tail,
             "Borrow": self.gate.on_borrow,
-            "Notify": self.notices.on_notify,
+            "Notify": self._on_notify,
             "Status": self.status.on_status,
         }
         self._peer_server = make_peer_server(
             settings.router.peer, settings.fleet_key, handlers
         )
 
+    def _send_notify(self, name: str, request: peer_pb2.NotifyRequest) -> None:
+        """Sends a message, which may be lost, to another router."""
+        self._tasks.spawn(
+            self._peers.call(name, "Notify", request, NOTIFY_TIMEOUT_S)
+        )
+
+    async def _on_notify(
+        self, request: peer_pb2.NotifyRequest
+    ) -> peer_pb2.NotifyReply:
+        """Handles a message that may be lost."""
+        for report in request.crashes:
+            self.quarantine.on_crash_report(report)
+        for report in request.answers:
+            self.quarantine.on_answers_report(report)
+        for notice in request.quarantine:
+            self.quarantine.on_notice(notice)
+        return await self.notices.on_notify(request)
+
+    def _withdraw_attempts(self, entry: prompt_quarantine.Entry) -> None:
+        for relay in list(self.streams.relays.values()):
+            relay.withdraw(entry)
+
+    async def _read_quarantine(self) -> None:
+        await self._quarantine_reader.run(
+            self.quarantine.on_document,
+            lambda: self.quarantine.entry_count > 0,
+        )
+
     @property
     def metrics(self) -> stats.Metrics:
         """Counters and gauges of this router."""
@@ -353,6 +413,8 @@
             "puller": self.distribution.run_puller,
             "orders": self.orders.run,
             "notices": self.notices.run,
+            "quarantine": self.quarantine.run,
+            "quarantine reader": self._read_quarantine,
         }
         for name, run in children.items():
             self._supervisor.start_child(name, run)
@@ -394,6 +456,8 @@
         await self._supervisor.close()
         await self.orders.close()
         await self.notices.close()
+        await self.quarantine.close()
+        await self._tasks.close()
         await self.release_manager.close()
         await self.distribution.close()
         for server in reversed(self._servers):
--- a/bergamotmill/standin/cluster.py
+++ b/bergamotmill/standin/cluster.py
@@ -21,7 +21,10 @@
 from bergamotmill.storage.vm_list import coordinator as vm_coordinator
 from bergamotmill.util import clock as clocks
 from bergamotmill.util import memory_network
+from bergamotmill.util import tasks as background
 
+# Time after which an engine that a prompt crashed is back.
+ENGINE_RESTART_S = 3.0
 KEY_VALUE_HOST = "10.0.3.1"
 VM_LIST_HOST = "10.0.3.2"
 CUSTOMER_KEY = "key-of-{}"
@@ -95,7 +98,12 @@
 
 
 class Cluster:
-    """Starts and stops the parts of one cluster."""
+    """Starts and stops the parts of one cluster.
+
+    Attributes:
+        engine_faults: faults of engines that are started from now on.
+        crashes: times at which prompts crashed engines.
+    """
 
     def __init__(
         self,
@@ -112,6 +120,9 @@
         self.engines: dict[int, engine.EngineStandIn] = {}
         self.services: dict[int, service.ServiceStandIn] = {}
         self.routers: dict[int, bergamotmill_router.Router] = {}
+        self.engine_faults = engine.Faults()
+        self.crashes: list[float] = []
+        self._crash_tasks = background.Tasks()
         self._incarnation = 0
         self._engine_incarnation = 0
 
@@ -223,9 +234,22 @@
             engine_model.Speed(token_s=0.03),
             incarnation=self._engine_incarnation,
         )
+        standin.on_crash = lambda _: self._crash_for_a_time(index, models)
+        standin.faults = self.engine_faults
         self.engines[index] = standin
         await self.run_as_host(engine_host(index), standin.start())
 
+    def _crash_for_a_time(self, index: int, models: dict[str, str]) -> None:
+        """Ends an engine that a prompt crashed; it is back after a time."""
+        if index in self.engines:
+            self.crashes.append(asyncio.get_running_loop().time())
+            self._crash_tasks.spawn(self._restart_engine(index, models))
+
+    async def _restart_engine(self, index: int, models: dict[str, str]) -> None:
+        await self.crash_engine(index)
+        await asyncio.sleep(ENGINE_RESTART_S)
+        await self.start_engine(index, models)
+
     async def crash_engine(self, index: int) -> None:
         """Kills an engine."""
         self.network.kill(engine_host(index))
@@ -239,6 +263,7 @@
 
     async def close(self) -> None:
         """Stops all parts."""
+        await self._crash_tasks.close()
         for index in list(self.routers):
             await self.crash_router(index)
         for index in list(self.engines):
--- a/bergamotmill/standin/engine.py
+++ b/bergamotmill/standin/engine.py
@@ -1,6 +1,7 @@
 """Stand-in for an inference engine with an HTTP interface."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import json
 import time
@@ -31,12 +32,20 @@
             version are served.
         ignore_orders: whether orders are acknowledged but not carried out.
         crossed_answers: whether answers carry the id of another request.
+        crash_text: text in a message, other than the last one, on which the
+            engine crashes when it begins to answer; empty for none.
     """
 
     ignore_fencing: bool = False
     ignore_target: bool = False
     ignore_orders: bool = False
     crossed_answers: bool = False
+    crash_text: str = ""
+
+
+def _ignore_crash(standin: "EngineStandIn") -> None:
+    """Does nothing: the engine goes on."""
+    del standin
 
 
 class EngineStandIn:
@@ -49,6 +58,7 @@
         draining: whether new requests are refused.
         runs: request ids in the order in which they were accepted.
         orders: orders in the order in which they were accepted.
+        on_crash: called when a prompt crashes the engine.
     """
 
     def __init__(
@@ -74,6 +84,7 @@
         self.draining = False
         self.runs: list[str] = []
         self.orders: list[dict[str, Any]] = []
+        self.on_crash: Callable[[EngineStandIn], None] = _ignore_crash
         self._fencing_token = 0
         self._streams: dict[str, engine_stream.ResumableStream] = {}
         self._wake = asyncio.Event()
@@ -99,7 +110,11 @@
         while True:
             for ready in self._engine_model.advance(loop.time()):
                 stream = self._streams.get(ready.job.name)
-                if stream is not None:
+                if stream is None:
+                    continue
+                if self._crashes_on(stream.body):
+                    self.on_crash(self)
+                else:
                     self._tasks.spawn(
                         stream.generate(ready, self._speed.token_s)
                     )
@@ -111,6 +126,13 @@
             except TimeoutError:
                 pass
 
+    def _crashes_on(self, body: dict[str, Any]) -> bool:
+        text = self.faults.crash_text
+        return bool(text) and any(
+            text in str(message.get("content"))
+            for message in body.get("messages", ())[:-1]
+        )
+
     async def _handle(self, exchange: http_server.Exchange) -> None:
         request = exchange.request
         path = request.path
--- a/bergamotmill/standin/engine_stream.py
+++ b/bergamotmill/standin/engine_stream.py
@@ -54,6 +54,7 @@
     """The events of one request, buffered so that a reader can reconnect.
 
     Attributes:
+        body: body of the request.
         complete: whether all events have been generated.
         has_reader: whether a reader is connected, or the first is awaited.
     """
@@ -64,7 +65,7 @@
         self.request_id = request_id
         self.version = version
         self._path = path
-        self._body = body
+        self.body = body
         self._events: list[bytes] = []
         self._changed = asyncio.Event()
         self._reader_number = 0
@@ -76,8 +77,8 @@
         self, ready: engine_model.Prefilled, token_s: float
     ) -> None:
         """Generates one token every `token_s` seconds."""
-        count = requested_tokens(self._body)
-        first_index = continued_tokens(self._path, self._body)
+        count = requested_tokens(self.body)
+        first_index = continued_tokens(self._path, self.body)
         for index in range(count):
             if self._cancelled:
                 return
@@ -122,7 +123,7 @@
             "id": f"chatcmpl-{self.request_id}",
             "object": kind,
             "created": 0,
-            "model": self._body.get("model"),
+            "model": self.body.get("model"),
             "choices": choices,
         }
 
--- a/bergamotmill/streams/body.py
+++ b/bergamotmill/streams/body.py
@@ -5,6 +5,8 @@
 import json
 from typing import Any
 
+import xxhash
+
 from bergamotmill.streams import messages
 
 CHAT_PATH = "/v1/chat/completions"
@@ -28,6 +30,22 @@
     return "\0\0".join(parts).encode()
 
 
+def shared_parts(body: Mapping[str, Any]) -> list[str]:
+    """Returns names of the parts of a chat that other requests may have.
+
+    These are its tools and all messages but the last one; none for a plain
+    prompt.
+    """
+    parts = []
+    if body.get("tools"):
+        parts.append(json.dumps(body["tools"], sort_keys=True))
+    parts += [
+        json.dumps([message.get("role"), message.get("content")])
+        for message in body.get("messages", ())[:-1]
+    ]
+    return [f"{xxhash.xxh3_64_intdigest(text.encode()):016x}" for text in parts]
+
+
 def build_first_body(request: messages.ModelRequest) -> dict[str, Any]:
     """Returns the body of the first attempt.
 
--- a/bergamotmill/streams/context.py
+++ b/bergamotmill/streams/context.py
@@ -4,6 +4,7 @@
 
 import result
 
+from bergamotmill.control import quarantine
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.routing import chain as prefix_chain
 from bergamotmill.routing import decision as routing_decision
@@ -11,6 +12,7 @@
 from bergamotmill.routing import kv_export
 from bergamotmill.routing import messages as routing_messages
 from bergamotmill.routing import notices as routing_notices
+from bergamotmill.routing import prompt_quarantine
 from bergamotmill.routing import retry_budget
 from bergamotmill.routing import view as fleet_view
 from bergamotmill.settings import config as settings_config
@@ -43,6 +45,7 @@
         engine_clients: Mapping[str, object],
         stores: offload_store.OffloadStoreCoordinator,
         notices: routing_notices.NoticeExchange,
+        prompts: quarantine.Quarantine,
         metrics: stats.Metrics,
         now: Callable[[], float],
     ):
@@ -53,6 +56,7 @@
         self.engine_clients = engine_clients
         self._stores = stores
         self._notices = notices
+        self.prompts = prompts
         self.metrics = metrics
         self.now = now
         self._budget = retry_budget.RetryBudget(now())
@@ -110,6 +114,21 @@
             routing.tokens_per_piece,
         )
 
+    def prompt_of(
+        self, request: messages.ModelRequest
+    ) -> prompt_quarantine.Prompt:
+        """Returns the parts of a request's prompt that others may have, too.
+
+        A plain prompt has no parts, so that its blocks take their place.
+        """
+        parts = engine_body.shared_parts(request.body)
+        if request.path == engine_body.COMPLETIONS_PATH:
+            chain = self.prefix_chain_of(request)
+            parts = [f"{digest:016x}" for digest in chain.digests]
+        return prompt_quarantine.make_prompt(
+            request.model.name, parts, request.customer.name
+        )
+
     async def decide(
         self,
         request: messages.ModelRequest,
--- a/bergamotmill/streams/relay.py
+++ b/bergamotmill/streams/relay.py
@@ -13,10 +13,12 @@
 import loguru
 import result
 
+from bergamotmill.control import quarantine
 from bergamotmill.helpers import refusal
 from bergamotmill.helpers import run_state
 from bergamotmill.routing import const as routing_const
 from bergamotmill.routing import messages as routing_messages
+from bergamotmill.routing import prompt_quarantine
 from bergamotmill.streams import assemble
 from bergamotmill.streams import body as engine_body
 from bergamotmill.streams import caller_output
@@ -71,6 +73,11 @@
         self._excluded: set[str] = set()
         self._decision: routing_messages.Decision | None = None
         self._first_token_at = 0.0
+        # When the present engine sent its first event; None before.
+        self._answer_began_at: float | None = None
+        self._prompt = context.prompt_of(request)
+        self._trial_of = ""
+        self._withdrawn = False
         self._started_at = context.now()
 
     @property
@@ -113,6 +120,17 @@
             self._update_event_id_token(location.replica_incarnation)
         self._task = asyncio.create_task(self._run())
 
+    def withdraw(self, entry: prompt_quarantine.Entry) -> None:
+        """Gives up an attempt without an event on a quarantined prompt."""
+        if (
+            self._engine_stream is not None
+            and self._answer_began_at is None
+            and entry.blocks(self._prompt)
+            and entry.key != self._trial_of
+        ):
+            self._withdrawn = True
+            self._engine_stream.close()
+
     async def stop(self) -> None:
         """Stops the relay; its replay buffer is retained for some time."""
         self._output.disconnect()
@@ -188,6 +206,7 @@
                 return None
             except errors.UpstreamError as err:
                 self._handle_failure(err)
+                await self._note_loss(err)
                 failures += 1
                 refused = await self._recover(err, failures)
                 if refused is not None:
@@ -209,6 +228,9 @@
             self._output.write([self._numbering.with_id(number, const.DONE)])
 
     async def _open_upstream(self) -> result.Result[None, refusal.Refusal]:
+        refused = await self._refuse_if_quarantined()
+        if refused is not None:
+            return result.Err(refused)
         decided = await self._context.decide(
             self._request, self._priority(), frozenset(self._excluded)
         )
@@ -236,6 +258,7 @@
                 sent=False,
             )
         call = self._build_call(decision)
+        self._answer_began_at = None
         self._tracker.mark_sending()
         self._context.record_dispatch(decision)
         try:
@@ -249,6 +272,57 @@
         self._update_event_id_token(self._engine_stream.head.incarnation)
         return result.Ok(None)
 
+    async def _refuse_if_quarantined(self) -> refusal.Refusal | None:
+        """Refuses a request whose prompt crashes engines, unless a trial."""
+        may_be_trial = self._tracker.state is run_state.RunState.NOT_SENT
+        admission = await self._context.prompts.admit(
+            self._prompt, may_be_trial, self._trial_of
+        )
+        self._trial_of = admission.trial_of
+        if admission.held_by is None:
+            return None
+        return self._refuse_held(admission.held_by)
+
+    def _refuse_held(self, entry: prompt_quarantine.Entry) -> refusal.Refusal:
+        self._context.metrics.count("streams.quarantined")
+        status = 502
+        if self._tracker.state is run_state.RunState.NOT_SENT:
+            status = 503
+        return self._refuse(
+            status,
+            refusal.CODE_PROMPT_QUARANTINED,
+            f"engines ended under requests with this prompt ({entry.key})",
+            self._context.prompts.retry_after_s(entry),
+        )
+
+    async def _note_loss(self, err: errors.UpstreamError) -> None:
+        """Records what a lost connection says of the prompt."""
+        self._trial_of = ""
+        decision = self._decision
+        client = self._context.engine_clients.get(self._replica)
+        if (
+            err.failure is not errors.Failure.LOST
+            or self._withdrawn
+            or decision is None
+            or client is None
+        ):
+            return
+        answered_s = None
+        if self._answer_began_at is not None:
+            answered_s = self._context.now() - self._answer_began_at
+        ended = await self._context.prompts.note_loss(
+            self._prompt,
+            quarantine.LostAttempt(
+                prompt_quarantine.Crash(
+                    self._replica, decision.choice.incarnation
+                ),
+                answered_s,
+                client.has_ended,
+            ),
+        )
+        if ended:
+            self._context.metrics.count("upstream.ended")
+
     def _refuse_if_late(
         self, decision: routing_messages.Decision
     ) -> refusal.Refusal | None:
@@ -341,6 +415,7 @@
                     await self._output.drain()
         stream.finish()
         self._engine_stream = None
+        self._context.prompts.note_answer(self._prompt)
 
     def _process_bytes(
         self, splitter: sse.EventSplitter, data: bytes, out: list[bytes]
@@ -362,6 +437,8 @@
                 continue
             if self._request_id_bytes in event:
                 buffer.append(event)
+                if self._answer_began_at is None:
+                    self._answer_began_at = self._context.now()
                 if not self._first_token_at:
                     self._record_first_token()
                 if _USAGE_KEY in event and not self._process_usage(event):
@@ -443,6 +520,12 @@
             )
         if err.failure is errors.Failure.BAD_REQUEST:
             return self._refuse_as_invalid(err)
+        held_by = self._context.prompts.holding(self._prompt)
+        if self._withdrawn or held_by and not self._buffer.count:
+            await self._cancel_upstream()
+            if not held_by:
+                return self._refuse_failed(err)
+            return self._refuse_held(held_by[0])
         if failures > const.MAX_RECOVERIES:
             return self._refuse_failed(err)
         if err.failure is errors.Failure.WRONG_TARGET:
--- a/bergamotmill/upstream/engine/client.py
+++ b/bergamotmill/upstream/engine/client.py
@@ -78,17 +78,22 @@
         """
         headers = _request_headers(call)
         conn = await self._acquire(fresh=False)
+        was_idle = conn.idle_since > 0
         silence_s = call.silence_s or const.SILENCE_LIMIT_S
         try:
             head = await self._send(
                 conn, "POST", call.path, headers, call.body, silence_s
             )
         except errors.UpstreamError as err:
-            if err.failure is not errors.Failure.LOST:
+            if err.failure is not errors.Failure.LOST or not was_idle:
                 raise
             # The engine may have closed a pooled connection while it was idle;
             # sends the request again, on a new connection.
-            conn = await self._acquire(fresh=True)
+            try:
+                conn = await self._acquire(fresh=True)
+            except errors.UpstreamError:
+                # The engine has ended; it may have run the request before.
+                raise err from None
             head = await self._send(
                 conn, "POST", call.path, headers, call.body, silence_s
             )
@@ -104,6 +109,15 @@
         conn.set_read_timeout(const.SILENCE_LIMIT_S)
         return await self._stream_of(conn, head, request_id)
 
+    async def has_ended(self) -> bool:
+        """Whether the engine has ended: a new connection is refused."""
+        try:
+            conn = await self._pool.acquire(self._replica.address, fresh=True)
+        except http_errors.ConnectError as err:
+            return isinstance(err.__cause__, ConnectionRefusedError)
+        conn.close()
+        return False
+
     async def cancel_stream(self, request_id: str) -> None:
         """Requests that the engine stop a stream; failures are ignored."""
         target = f"{const.PATH_STREAMS}{request_id}"
