Responses without length or chunks: one that ends with its upstream is lost

An upstream that ends closes its connections cleanly, which is also how such responses end: a stream that was broken off between two events was forwarded as complete.

Evidence: test_response_that_ends_with_its_upstream_is_not_complete fails without the check (a review with 1 of 20 events is whole, status 200) and passes with it; 30 tests of crashing prompts, endless and unframed responses pass.

--- a/bergamotmill/dispatch/ports.py
+++ b/bergamotmill/dispatch/ports.py
@@ -59,6 +59,12 @@
             errors.UpstreamError: the response is truncated or malformed.
         """
 
+    async def is_whole(self) -> bool:
+        """Whether a response that ended with its connection is complete.
+
+        It is not if the upstream ended with it.
+        """
+
     def release(self) -> None:
         """Returns the connection to the pool after a complete response."""
 
--- a/bergamotmill/dispatch/relay.py
+++ b/bergamotmill/dispatch/relay.py
@@ -90,6 +90,7 @@
                 True,
             )
         body = await self._read_body(response)
+        await _check_end(response)
         if head.status >= 500 and may_retry:
             raise errors.UpstreamError(
                 errors.Failure.FAILED, str(head.status), True
@@ -164,10 +165,10 @@
         if response.head.ends_with_connection and (
             progress.answer_began_at is None
         ):
-            # An engine that ends after the head closes the connection, too.
             raise errors.UpstreamError(
                 errors.Failure.LOST, "stream ended without an event", True
             )
+        await _check_end(response)
         if not sink.started:
             sink.start(response.head)
         sink.finish()
@@ -179,6 +180,21 @@
         self._metrics.timing(f"first_byte.{call.route.name}", first_byte_s)
 
 
+async def _check_end(response: ports.UpstreamResponse) -> None:
+    """Checks that a response did not end because its upstream did.
+
+    An upstream that ends closes its connections, which is also how responses
+    without length or chunks end.
+
+    Raises:
+        errors.UpstreamError: the response may be incomplete.
+    """
+    if response.head.ends_with_connection and not await response.is_whole():
+        raise errors.UpstreamError(
+            errors.Failure.LOST, "response ended with its upstream", True
+        )
+
+
 def _check_resumed_event(event: bytes, last_id: str) -> None:
     """Checks that a resumed stream starts after the caller's last event.
 
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -50,7 +50,7 @@
 class Faults:
     """Faults that a test can switch on.
 
-    Only `mute`, `cut_after`, `order_delay_s`, `crash_part` and `unframed`
+    Only `mute`, `cut_after`, `order_delay_s`, `crash_parts` and `unframed`
     affect engines; `unframed` affects plain services, too.
 
     Attributes:
@@ -70,8 +70,8 @@
         says_leaving: whether answers say that the replica is leaving.
         endless: part of an answer that never ends, until the caller
             disconnects: a key of `ENDLESS_PARTS`; empty for none.
-        crash_part: part of prompts on which an engine crashes when it begins to
-            write the answer, unless it is the last part; empty for none.
+        crash_parts: parts of prompts on which an engine crashes when it begins
+            to write the answer, unless it is the last part.
         unframed: whether answers have neither a length nor chunks and end with
             their connection.
         end_after_head: whether unframed answers end after their head.
@@ -92,7 +92,7 @@
     retry_after_s: float = 0.0
     says_leaving: bool = False
     endless: str = ""
-    crash_part: str = ""
+    crash_parts: frozenset[str] = frozenset()
     unframed: bool = False
     end_after_head: bool = False
     reset_before_answer: bool = False
@@ -447,7 +447,7 @@
             elif self.faults.reset_before_answer:
                 run.outcome = "lost"
                 exchange.abort()
-            elif self.faults.crash_part in run.parts[:-1]:
+            elif self.faults.crash_parts.intersection(run.parts[:-1]):
                 run.outcome = "crashed"
                 self.on_crash(self)
             else:
--- a/tests/dispatch/test_crashing_prompts.py
+++ b/tests/dispatch/test_crashing_prompts.py
@@ -28,10 +28,10 @@
 class CrashingLoad(platform_case.PlatformCase):
     """A load of sound prompts, and of prompts that crash engines."""
 
-    def set_crashing_part(self, part=CRASHING):
+    def set_crashing_parts(self, *parts):
         standins = [*self.fleet.replicas.values(), *self.fleet.crashed]
         for standin in standins:
-            standin.faults.crash_part = part if standin.model else ""
+            standin.faults.crash_parts = frozenset(parts)
 
     def sound_parts(self, rng):
         return f"sys:512,file{rng.randrange(12)}:400,{rng.random()}:300"
@@ -91,7 +91,7 @@
 
     async def play_day(self, seed=1, disturb=None, seconds=SHORT_PLAY_S):
         """Plays sound requests, and after a while crashing ones with them."""
-        self.set_crashing_part()
+        self.set_crashing_parts(CRASHING)
         rng = random.Random(seed)
         sound = asyncio.create_task(
             self.play(CALM_S + seconds, SOUND_PER_S, self.sound_parts, rng)
@@ -153,7 +153,7 @@
 
     def test_two_parts_at_fault_are_both_held_back(self):
         async def scenario():
-            self.set_crashing_part()
+            self.set_crashing_parts(CRASHING)
             rng = random.Random(5)
             sound = asyncio.create_task(
                 self.play(30.0, SOUND_PER_S, self.sound_parts, rng)
@@ -161,7 +161,7 @@
             await asyncio.sleep(CALM_S)
             await self.play(10.0, CRASHING_PER_S, self.crashing_parts, rng)
             first_crashes = len(self.fleet.crashes)
-            self.set_crashing_part("decaf")
+            self.set_crashing_parts("decaf")
             await self.play(
                 10.0,
                 CRASHING_PER_S,
@@ -235,7 +235,7 @@
             for host in cut_off:
                 for other in [*others, "10.0.3.1"]:
                     self.network.partition(host, other)
-            self.set_crashing_part()
+            self.set_crashing_parts(CRASHING)
             await self.fleet.call("check", router=4, parts=self.crashing_text())
             self.assertEqual(len(self.fleet.crashes), 2)
             await asyncio.sleep(8.0)
@@ -255,7 +255,7 @@
 
     async def provoke(self):
         """Has a request crash two engines, and returns its answer."""
-        self.set_crashing_part()
+        self.set_crashing_parts(CRASHING)
         answer = await self.fleet.call("check", parts=self.crashing_text())
         self.assertEqual(len(self.fleet.crashes), 2)
         await asyncio.sleep(1.0)
@@ -280,7 +280,7 @@
             # Keeps the engines busy, so that prompts wait there.
             for standin in self.fleet.replicas.values():
                 standin.engine.prefill_tokens_per_s = 2000.0
-            self.set_crashing_part()
+            self.set_crashing_parts(CRASHING)
             answers = await asyncio.gather(
                 *(
                     self.fleet.call(
@@ -299,7 +299,7 @@
     def test_one_trial_ends_the_quarantine_of_a_sound_part(self):
         async def scenario():
             await self.provoke()
-            self.set_crashing_part("")
+            self.set_crashing_parts()
             statuses = []
             for _ in range(40):
                 answers = await self.call_concurrently(
@@ -318,7 +318,7 @@
     def test_operator_ends_a_quarantine_by_removing_its_document(self):
         async def scenario():
             await self.provoke()
-            self.set_crashing_part("")
+            self.set_crashing_parts()
             entries = await self.fleet.store.memory.scan(
                 const.PREFIX_QUARANTINE
             )
--- a/tests/dispatch/test_unframed_responses.py
+++ b/tests/dispatch/test_unframed_responses.py
@@ -81,7 +81,26 @@
 
         self.run_with(scenario, pause_after_start_s=0.5)
 
+    def test_response_that_ends_with_its_upstream_is_not_complete(self):
+        async def scenario():
+            for route in ("review", "filing"):
+                call = asyncio.create_task(self.fleet.call(route, body=b"text"))
+                standin = await self.find_answering(route)
+                await standin.close()
+                answer = await call
+                self.assertFalse(answer.whole and answer.status == 200, route)
+            self.assert_at_most_once()
+
+        self.run_with(scenario, pause_after_start_s=0.5)
+
     async def reset_after_first_bytes(self, route):
+        standin = await self.find_answering(route)
+        host = standin.address.partition(":")[0]
+        self.network.kill(host)
+        self.network.revive(host)
+
+    async def find_answering(self, route):
+        """Returns the replica that has sent the first bytes of an answer."""
         model = route == "review"
         while True:
             await asyncio.sleep(0.001)
@@ -89,10 +108,7 @@
                 if bool(standin.model) == model and any(
                     run.answered for run in standin.runs
                 ):
-                    host = standin.address.partition(":")[0]
-                    self.network.kill(host)
-                    self.network.revive(host)
-                    return
+                    return standin
 
     def test_connection_that_ended_a_response_carries_no_other(self):
         async def scenario():
