Soak over processes: crashing prompts, unframed responses, end by a signal

Faults: prompts with a part that crashes engines, and responses without length or chunks. Promise: at most three requests with such a part reach engines later than 3 s after the fifth crash; its test breaks it.

Both now cancel the run, which stops what it started.

--- a/bergamotmill/bench/process_soak/__init__.py
+++ b/bergamotmill/bench/process_soak/__init__.py
@@ -5,6 +5,7 @@
 import collections
 import pathlib
 import random
+import signal
 import tempfile
 import time
 from typing import Any
@@ -104,7 +105,20 @@
         )
 
 
+def _cancel_on_signals() -> None:
+    """Makes signals that end this process cancel the present task.
+
+    A shell starts background jobs with SIGINT ignored, and SIGTERM ends a
+    process without clean-up by default.
+    """
+    loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+
+
 async def _run_seed(arguments: argparse.Namespace, seed: int, folder) -> Any:
+    _cancel_on_signals()
     rng = random.Random(seed)
     fleet = soak_fleet.Fleet(arguments.routers, arguments.engines, 3, folder)
     callers = traffic.Traffic(fleet, arguments.callers, rng)
@@ -160,7 +174,10 @@
     summaries = []
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         with tempfile.TemporaryDirectory() as folder:
-            observed = asyncio.run(_run_seed(arguments, seed, folder))
+            try:
+                observed = asyncio.run(_run_seed(arguments, seed, folder))
+            except asyncio.CancelledError:
+                raise SystemExit(f"seed {seed}: ended by a signal") from None
             summary = _summary(seed, observed)
             if summary["violations"] and arguments.keep:
                 target = pathlib.Path(arguments.keep) / f"seed-{seed}"
--- a/bergamotmill/bench/process_soak/const.py
+++ b/bergamotmill/bench/process_soak/const.py
@@ -17,6 +17,12 @@
 RECOVERY_WAIT_S = 12.0
 # Time after the end of a fault during which its effects are tolerated.
 FAULT_SETTLE_S = 3.0
+# From this number of crashes under requests with one part, and FAULT_SETTLE_S
+# later, no more than this number of such requests may reach replicas.
+CRASHES_UNTIL_LIMIT = 5
+MAX_REQUESTS_AFTER_CRASHES = 3
+# Fraction of the prompts that have a crashing part while such prompts are sent.
+CRASHING_FRACTION = 0.2
 RETRY_RATIO = 0.2
 RETRY_SLACK = 54.0
 RETRY_WINDOW_S = 10.0
--- a/bergamotmill/bench/process_soak/faults.py
+++ b/bergamotmill/bench/process_soak/faults.py
@@ -214,6 +214,7 @@
             ("lose_answers", True),
             ("mute", True),
             ("errors", True),
+            ("unframed", True),
             ("cut_after", rng.randrange(1, 30)),
             ("extra_after_s", rng.choice((0.0, 0.001, 0.03))),
             ("order_delay_s", rng.uniform(0.3, 2.0)),
@@ -229,12 +230,19 @@
 async def replica_lost(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
     """Crashes a replica and starts another one in its place."""
     name = rng.choice(sorted(fleet.replicas))
-    is_engine = bool(fleet.replicas[name].model)
     fleet.observed.record_fault("replica", name, 4.0)
-    await fleet.stop_replica(name, crash=True)
-    await asyncio.sleep(rng.uniform(0.5, 2.0))
-    await fleet.deregister_replica(name)
-    await fleet.start_replica(is_engine)
+    await fleet.replace_replica(name, rng.uniform(0.5, 2.0))
+
+
+@FAULTS.register("crashing_prompts")
+async def crashing_prompts(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
+    """Has callers send prompts with a part that crashes engines."""
+    seconds = rng.uniform(3.0, 8.0)
+    part = fleet.add_crashing_part()
+    fleet.observed.record_fault("replica", part, seconds + const.FAULT_SETTLE_S)
+    fleet.sent_crashing_parts.append(part)
+    await asyncio.sleep(seconds)
+    fleet.sent_crashing_parts.remove(part)
 
 
 @FAULTS.register("replica_leaves")
--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -24,6 +24,7 @@
 from bergamotmill.standin.platform import replica
 from bergamotmill.standin.platform import replica_set
 from bergamotmill.standin.platform import store
+from bergamotmill.util import tasks as background
 
 DATA_CENTRES = 2
 MODEL = platform_fleet.MODEL
@@ -170,6 +171,11 @@
         self._replicas_started = 0
         self._collected_counts: dict[str, tuple[int, int, int]] = {}
         self._stopped_replicas: list[replica.ReplicaStandIn] = []
+        # Parts that crash engines; those in `sent_crashing_parts` are in some
+        # of the callers' prompts now.
+        self._crashing_parts: frozenset[str] = frozenset()
+        self.sent_crashing_parts: list[str] = []
+        self._tasks = background.Tasks()
         self.routers = [
             Router(index, self._router_settings(index, routers), folder)
             for index in range(routers)
@@ -227,6 +233,33 @@
         for router in self.routers:
             await router.start()
 
+    def add_crashing_part(self) -> str:
+        """Returns a new part on which all engines crash from now on."""
+        part = f"crash{len(self._crashing_parts)}"
+        self._crashing_parts |= {part}
+        for standin in self.replicas.values():
+            standin.faults.crash_parts = self._crashing_parts
+        return part
+
+    def _on_crash(self, standin: replica.ReplicaStandIn) -> None:
+        """Ends an engine that a prompt crashed, and starts another later."""
+        if standin.name not in self.replicas:
+            return
+        for run in standin.runs:
+            if run.outcome == "crashed":
+                for part in self._crashing_parts.intersection(run.parts):
+                    times = self.observed.crashes.setdefault(part, [])
+                    times.append(self.now())
+        self._tasks.spawn(self.replace_replica(standin.name, 1.0))
+
+    async def replace_replica(self, name: str, pause_s: float) -> None:
+        """Crashes a replica and starts another one in its place."""
+        is_engine = bool(self.replicas[name].model)
+        await self.stop_replica(name, crash=True)
+        await asyncio.sleep(pause_s)
+        await self.deregister_replica(name)
+        await self.start_replica(is_engine)
+
     async def start_replica(self, is_engine: bool) -> replica.ReplicaStandIn:
         """Starts a replica with an unused name and address."""
         number = self._replicas_started
@@ -253,6 +286,8 @@
             born=time.time_ns() // 1_000_000,
             listen=listen_address,
         )
+        standin.faults.crash_parts = self._crashing_parts
+        standin.on_crash = self._on_crash
         self.proxies[name] = replica_proxy
         self._replica_set.add(standin)
         await replica_proxy.start()
@@ -328,6 +363,7 @@
                         run.scope,
                         run.weights,
                         run.continued,
+                        parts=run.parts,
                     )
                 )
             for at, request_id, customer in standin.refused[refused_count:]:
@@ -354,6 +390,7 @@
 
     async def close(self) -> None:
         """Kills the routers and stops all stand-ins and proxies."""
+        await self._tasks.close()
         for router in self.routers:
             if router.running:
                 router.send_signal(signal.SIGCONT)
--- a/bergamotmill/bench/process_soak/observations.py
+++ b/bergamotmill/bench/process_soak/observations.py
@@ -49,6 +49,7 @@
         continued: whether the replica continued a run of another engine from
             a copy of its KV.
         accepted: whether the replica ran the request instead of refusing it.
+        parts: names of the parts of its prompt.
     """
 
     at: float
@@ -59,6 +60,7 @@
     weights_version: int = 0
     continued: bool = False
     accepted: bool = True
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,6 +98,8 @@
         self.requests: list[Request] = []
         self.arrivals: list[Arrival] = []
         self.fault_spans: list[FaultSpan] = []
+        # Times at which replicas crashed, by the part that crashed them.
+        self.crashes: dict[str, list[float]] = {}
         self.orders: list[Order] = []
         # By replica, the time at which it began to leave, and at which it
         # crashed.
--- a/bergamotmill/bench/process_soak/promises.py
+++ b/bergamotmill/bench/process_soak/promises.py
@@ -198,6 +198,34 @@
     return violations
 
 
+@PROMISES.register("few requests with a part that crashes engines reach them")
+def _crashing_prompts(observed: observations.Observations) -> list[str]:
+    violations = []
+    for part, times in observed.crashes.items():
+        if len(times) < const.CRASHES_UNTIL_LIMIT:
+            continue
+        limit_at = (
+            times[const.CRASHES_UNTIL_LIMIT - 1]
+            + const.FAULT_SETTLE_S
+            + const.TIMING_TOLERANCE_S
+        )
+        late = [
+            run.at
+            for run in observed.arrivals
+            if part in run.parts[:-1]
+            and run.at > limit_at
+            and observed.fault_free(
+                run.at - const.FAULT_SETTLE_S, run.at, ("replica",)
+            )
+        ]
+        if len(late) > const.MAX_REQUESTS_AFTER_CRASHES:
+            violations.append(
+                f"{len(late)} requests with {part} reached engines after "
+                f"{const.CRASHES_UNTIL_LIMIT} had ended"
+            )
+    return violations
+
+
 @PROMISES.register("a final answer comes no later than the route allows")
 def _answer_in_time(observed: observations.Observations) -> list[str]:
     return [
--- a/bergamotmill/bench/process_soak/traffic.py
+++ b/bergamotmill/bench/process_soak/traffic.py
@@ -137,6 +137,10 @@
         if request.route in ("review", "check"):
             shared_file = self._rng.randrange(3)
             prefix = f"sys:512,file{shared_file}:4870,{request.request_id}:1000"
+            crashing_parts = self._fleet.sent_crashing_parts
+            if crashing_parts and self._rng.random() < const.CRASHING_FRACTION:
+                part = self._rng.choice(crashing_parts)
+                prefix = f"sys:512,{part}:4870,{request.request_id}:1000"
             headers[platform_const.HEADER_MODEL] = soak_fleet.MODEL
             headers[platform_const.HEADER_TOKEN_COUNTS] = f"6382,{event_count}"
             headers[platform_const.HEADER_PROMPT_PREFIX] = prefix
--- a/tests/bench/test_process_soak.py
+++ b/tests/bench/test_process_soak.py
@@ -1,6 +1,11 @@
 """Tests of the soak over real processes and of its promise checks."""
 
 import argparse
+import pathlib
+import signal
+import subprocess
+import sys
+import time
 import unittest
 
 from bergamotmill.bench import process_soak
@@ -8,6 +13,9 @@
 from bergamotmill.bench.process_soak import observations
 from bergamotmill.bench.process_soak import promises
 
+SOAK_START_TIMEOUT_S = 30.0
+SOAK_END_TIMEOUT_S = 30.0
+
 
 def request(request_id="r", route="filing", **overrides):
     fields = {
@@ -153,6 +161,27 @@
             any("budget" in text for text in self.observed.violations)
         )
 
+    def test_requests_with_a_crashing_part_reach_engines_too_often(self):
+        self.observed.requests = [
+            request(f"r{number}", "check", repeatable=True)
+            for number in range(20)
+        ]
+        self.observed.crashes = {"bad": [100.0, 100.2, 100.4, 100.6, 100.8]}
+        self.observed.arrivals = [
+            arrival(f"r{number}", at=101.0, parts=("sys", "bad", "own"))
+            for number in range(20)
+        ]
+        self.assert_no_violations()
+        for item in self.observed.arrivals[: const.MAX_REQUESTS_AFTER_CRASHES]:
+            item.at = 110.0
+        self.assert_no_violations()
+        self.observed.arrivals[-1].at = 110.0
+        self.assert_violated("few requests with a part")
+        self.observed.fault_spans = [
+            observations.FaultSpan("pause", "vm-0", 99.0, 120.0)
+        ]
+        self.assert_no_violations()
+
     def test_answer_after_route_timeout(self):
         self.observed.requests = [request(ended=103.0)]
         self.assert_violated("a final answer comes")
@@ -180,7 +209,50 @@
         self.assert_no_violations()
 
 
+def children_of(pid):
+    """Returns the processes whose parent is `pid`."""
+    found = []
+    for path in pathlib.Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = path.read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        if int(fields[1]) == pid and fields[0] != "Z":
+            found.append(int(path.parent.name))
+    return found
+
+
 class ProcessTest(unittest.TestCase):
+    def test_soak_that_is_ended_by_a_signal_leaves_no_router(self):
+        for number in (signal.SIGINT, signal.SIGTERM):
+            with self.subTest(number.name):
+                self.check_signal(number)
+
+    def check_signal(self, number):
+        command = [sys.executable, "-m", "bergamotmill.bench"]
+        command += ["soak-processes", "--routers", "2", "--seconds", "60"]
+        # As a shell starts a background job.
+        previous = signal.signal(signal.SIGINT, signal.SIG_IGN)
+        try:
+            soak = subprocess.Popen(
+                command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+            )
+        finally:
+            signal.signal(signal.SIGINT, previous)
+        try:
+            deadline = time.monotonic() + SOAK_START_TIMEOUT_S
+            while len(children_of(soak.pid)) < 2:
+                self.assertLess(time.monotonic(), deadline)
+                time.sleep(0.05)
+            routers = children_of(soak.pid)
+            soak.send_signal(number)
+            self.assertNotEqual(soak.wait(SOAK_END_TIMEOUT_S), 0)
+        finally:
+            soak.kill()
+            soak.wait()
+        for pid in routers:
+            self.assertFalse(pathlib.Path(f"/proc/{pid}").exists())
+
     def test_every_fault_over_real_processes(self):
         parser = argparse.ArgumentParser()
         process_soak.add_arguments(parser)
