--- a/bergamotmill/bench/dispatch.py
+++ b/bergamotmill/bench/dispatch.py
@@ -22,6 +22,10 @@
 LATE_CREDIT_RATIO = 0.3
 # Tokens that an engine sends in one event of a stream.
 TOKENS_PER_EVENT = 5
+# In the case `crashing`, prompts with this part crash engines; they arrive at
+# this rate from the time of the faults on, and earn nothing.
+CRASHING_PART = "crash"
+CRASHING_PER_S = 3.0
 # Standard deviation of the logarithm of log-normal token counts.
 SIZE_SIGMA = 0.6
 
@@ -176,6 +180,8 @@
             arguments.seconds, arguments.load, seed, arguments.prefixes
         )
         self.waiting_samples: list[tuple[float, int]] = []
+        self.engines_ended = 0
+        self.crashing_sent = 0
         self._engines: dict[str, replica.ReplicaStandIn] = {}
 
     def run(self) -> list[Request]:
@@ -226,6 +232,7 @@
         await asyncio.wait(send_tasks)
         await fault_task
         sampler.cancel()
+        self.engines_ended = len(fleet.crashes)
         await fleet.close()
 
     def _configure_engines(self, fleet: platform_fleet.PlatformFleet) -> None:
@@ -249,6 +256,34 @@
                 const.PREFIX_WEIGHTS + platform_fleet.MODEL,
                 {"model": platform_fleet.MODEL, "version": 2},
             )
+        if case == "unframed":
+            for standin in fleet.replicas.values():
+                standin.faults.unframed = True
+        if case in ("crashing", "all"):
+            await self._send_crashing(fleet)
+
+    async def _send_crashing(self, fleet) -> None:
+        """Sends prompts that crash engines until the end of the load."""
+        for standin in fleet.replicas.values():
+            standin.faults.crash_parts = frozenset({CRASHING_PART})
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._arguments.seconds * 2 / 3
+        checks = [r for r in self._requests if r.kind.route == "check"]
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < end:
+                await asyncio.sleep(self._rng.expovariate(CRASHING_PER_S))
+                sound = self._rng.choice(checks)
+                shared, _, own = sound.parts.partition(",")
+                parts = f"{shared},{CRASHING_PART}:300,x{own}"
+                self.crashing_sent += 1
+                group.create_task(
+                    self._send(
+                        fleet,
+                        dataclasses.replace(sound, parts=parts, worth=0.0),
+                    )
+                )
+                # Engines that are back have their memory to be set again.
+                self._configure_engines(fleet)
 
     async def _sample_waiting(self, fleet, started_at: float) -> None:
         """Records every 0.5 s how many requests are held at the routers."""
@@ -298,6 +333,8 @@
         "read_again_k": experiment.recomputed_tokens / 1000,
         "tokens_read_k": experiment.prefilled_tokens / 1000,
         "waiting_most": max(held for _, held in experiment.waiting_samples),
+        "engines_ended": experiment.engines_ended,
+        "crashing_sent": experiment.crashing_sent,
     }
     for kind in ASSOCIATION:
         of_kind = [item for item in load if item.kind.route == kind.route]
@@ -321,7 +358,14 @@
     parser.add_argument(
         "--case",
         default="calm",
-        choices=("calm", "engines_lost", "weights", "all"),
+        choices=(
+            "calm",
+            "engines_lost",
+            "weights",
+            "crashing",
+            "unframed",
+            "all",
+        ),
     )
     parser.add_argument("--policies", default=",".join(POLICIES))
     parser.add_argument("--seed", type=int, default=1)
--- a/tests/bench/test_dispatch.py
+++ b/tests/bench/test_dispatch.py
@@ -82,6 +82,14 @@
         figures = self.run_experiment("--policies", "ours")["ours"]
         self.assertGreater(figures["credit"], 0.95)
 
+    def test_load_is_served_beside_prompts_that_crash_engines(self):
+        figures = self.run_experiment(
+            "--policies", "ours", "--case", "crashing", "--seconds", "12"
+        )["ours"]
+        self.assertGreater(figures["crashing_sent"], 10)
+        self.assertLessEqual(figures["engines_ended"], 4)
+        self.assertGreater(figures["credit"], 0.9)
+
     def test_same_seed_repeats_the_figures(self):
         options = ("--policies", "ours", "--case", "weights")
         self.assertEqual(
