Readers that lose the store are replaced by others of their data centre

Cause: if both readers of a data centre lose the store, they go on to publish that it does not answer, and the other routers, which could read it, take that for a publication and wait. News then reached them only by pulls from other data centres.

Change: a reader that reports this is passed over; the next routers in the order read at once, with a first watch of 0.1 s, until it reports answers again.

--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -172,6 +172,12 @@
 # The second reader of a data centre reads the store after one missed heartbeat,
 # so that changes still reach the others before their timeout.
 SECOND_READER_TIMEOUT_S = 0.8
+# A reader that has reported that the store does not answer is passed over until
+# it reports answers, or for this time.
+READER_LOSS_MEMORY_S = 30.0
+# First wait of a watch by a router that has become a reader: whether the store
+# answers it has to be known soon.
+WATCH_WAIT_NEW_READER_S = 0.1
 # How often a router that is not a reader checks this timeout, and whether it
 # has become a reader.
 READER_CHECK_PERIOD_S = 0.2
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -158,7 +158,10 @@
             "",
             self._peers,
             feed_readers.DataCentreStoreReaders(
-                own.name, own.data_centre, lambda name: self._alive_in(name)
+                own.name,
+                own.data_centre,
+                lambda name: self._alive_in(name),
+                now,
             ),
             own.name,
             self._clock,
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -97,6 +97,9 @@
     def watch_wait_s(self) -> float:
         """Returns how long a watch of the store may wait for changes."""
 
+    def note_answers(self, name: str, answers: bool) -> None:
+        """Records whether a router gets answers from the store."""
+
     def poll_interval_s(self) -> float:
         """Returns the delay after a call to the store that returned changes."""
 
@@ -256,16 +259,21 @@
 
         Every router reads a snapshot first, also after a watch has failed.
         """
+        is_new_reader = False
         while True:
             if (
                 self._watch_revision != NEEDS_SNAPSHOT
                 and self._receives_publications()
             ):
                 await asyncio.sleep(const.READER_CHECK_PERIOD_S)
+                is_new_reader = True
                 continue
             after_revision = self._revision
             is_watch = self._watch_revision != NEEDS_SNAPSHOT
             wait_s = self._store_readers.watch_wait_s() if is_watch else 0.0
+            if is_new_reader:
+                wait_s = min(wait_s, const.WATCH_WAIT_NEW_READER_S)
+            is_new_reader = False
             began_at = self._now()
             if not await self._read_store(is_watch, wait_s):
                 await asyncio.sleep(self._backoff.next_delay())
@@ -327,6 +335,7 @@
         """
         names = self._store_readers.publish_targets()
         store_answers = self._store_ok and not self._overdue
+        self._store_readers.note_answers(self._own_name, store_answers)
         if not names or not store_answers and self._is_replaced():
             return
         message = peer_pb2.Publication(
@@ -349,6 +358,7 @@
         If its changes start after this router's revision, some in between were
         missed: the sender counts as a peer that is ahead, to pull from.
         """
+        self._store_readers.note_answers(message.sender, message.store_answers)
         self._enter_era(message.revision)
         self._adopt_all(message.sender, message.documents)
         if self._revision >= message.after_revision:
--- a/bergamotmill/dispatch/readers.py
+++ b/bergamotmill/dispatch/readers.py
@@ -26,32 +26,71 @@
         own_name: str,
         data_centre: str,
         alive: Callable[[str], Sequence[fleet_members.Member]],
+        now: Callable[[], float],
     ):
+        """Makes a selection.
+
+        Args:
+            own_name: name of this router.
+            data_centre: its data centre.
+            alive: returns the live routers of a data centre.
+            now: the monotonic clock.
+        """
         self._own_name = own_name
         self._data_centre = data_centre
         self._alive = alive
+        self._now = now
+        # Readers that get no answers from the store, and when they said so.
+        self._unanswered_since: dict[str, float] = {}
 
     def _router_names(self) -> set[str]:
         live = {member.name for member in self._alive(self._data_centre)}
         return live | {self._own_name}
 
-    def _reader_names(self) -> list[str]:
+    def _first_of(self, names: set[str]) -> list[str]:
         return rendezvous.top(
-            RENDEZVOUS_KEY,
-            self._router_names(),
-            control_const.READERS_PER_DATA_CENTRE,
+            RENDEZVOUS_KEY, names, control_const.READERS_PER_DATA_CENTRE
         )
 
+    def _reader_names(self) -> list[str]:
+        """Returns the first routers that have not lost the store.
+
+        If all have, the first routers try on.
+        """
+        names = self._router_names()
+        forgotten_before = self._now() - const.READER_LOSS_MEMORY_S
+        lost = {
+            name
+            for name, since in self._unanswered_since.items()
+            if since >= forgotten_before
+        }
+        return self._first_of(names - lost or names)
+
+    def note_answers(self, name: str, answers: bool) -> None:
+        """Records whether a router gets answers from the store."""
+        if answers:
+            self._unanswered_since.pop(name, None)
+        else:
+            self._unanswered_since[name] = self._now()
+
     def _all_read(self) -> bool:
         return len(self._router_names()) <= const.ALL_READERS_MAX_ROUTERS
 
     def is_reader(self) -> bool:
         """Whether this router reads the store directly."""
-        return self._all_read() or self._own_name in self._reader_names()
+        return (
+            self._all_read()
+            or self._own_name in self._reader_names()
+            or self._own_name in self._first_of(self._router_names())
+        )
 
     def is_first_reader(self) -> bool:
         """Whether this router always reads the store."""
-        return self._all_read() or self._own_name == self._reader_names()[0]
+        return (
+            self._all_read()
+            or self._own_name == self._reader_names()[0]
+            or self._own_name == self._first_of(self._router_names())[0]
+        )
 
     def publication_timeout_s(self) -> float:
         """Returns for how long a publication saves reading the store."""
--- a/tests/dispatch/test_readers.py
+++ b/tests/dispatch/test_readers.py
@@ -9,6 +9,8 @@
 from tests import platform_case
 
 ROUTERS = 16
+# A change has to be in force within this time.
+APPLY_S = 2.0
 
 
 class ReadersTest(platform_case.PlatformCase):
@@ -112,6 +114,51 @@
 
         self.run_large_fleet(scenario)
 
+    async def worst_delay_s(self, seconds):
+        """Changes the configuration; returns the longest time to be in force.
+
+        Counts every router, 2.5 times a second.
+        """
+        written_at = {}
+        worst_s = 0.0
+        version = 1
+        for step in range(int(seconds / 0.02)):
+            if step % 20 == 0:
+                version += 1
+                await self.publish_configuration(version)
+                written_at[version] = self.now()
+            await asyncio.sleep(0.02)
+            oldest = min(self.configuration_versions())
+            if oldest < version:
+                delay_s = self.now() - written_at.get(oldest + 1, self.now())
+                worst_s = max(worst_s, delay_s)
+        return worst_s
+
+    # CONFIG, issue 26: the store turned both readers of a data centre away.
+    def test_change_is_in_force_in_time_after_both_readers_lose_the_store(
+        self,
+    ):
+        async def scenario():
+            for index in self.reader_indices():
+                if index % 2 == 0:
+                    self.network.partition(
+                        fleet.STORE_HOST, fleet.router_host(index)
+                    )
+            self.assertLess(await self.worst_delay_s(12.0), APPLY_S)
+
+        self.run_large_fleet(scenario)
+
+    def test_change_is_in_force_in_time_after_a_third_loses_the_store(self):
+        async def scenario():
+            for index in range(ROUTERS):
+                if index in self.reader_indices() or index % 5 == 0:
+                    self.network.partition(
+                        fleet.STORE_HOST, fleet.router_host(index)
+                    )
+            self.assertLess(await self.worst_delay_s(12.0), APPLY_S)
+
+        self.run_large_fleet(scenario)
+
     def test_change_is_in_force_in_time_after_first_readers_crash(self):
         async def scenario():
             for index in self.reader_indices():
