Own interface: readers take turns, so that a silent watch costs 2.5 s

The readers of all data centres now take turns by the wall clock, and poll more often where they are few; the idle fleet reads no more than before.

Evidence: test_release_is_in_force_in_time_while_all_watches_are_silent failed with over 4.0 s and passes; 30 of 30 in tests/control pass, the check of an idle fleet's reads among them, unchanged.

--- a/bergamotmill/bench/control.py
+++ b/bergamotmill/bench/control.py
@@ -81,7 +81,7 @@
             fleet.store, "/bench", now, id_source.IdSource(rng)
         )
         self.distribution = release_distribution.Distribution(
-            self.releases, fleet.store, self.membership, peers, rng, now
+            self.releases, fleet.store, self.membership, peers, rng, now, now
         )
         self.server = fleet.bus.make_server(
             f"{self.host}:90",
--- a/bergamotmill/control/const.py
+++ b/bergamotmill/control/const.py
@@ -33,8 +33,12 @@
 WATCH_BACKOFF_MIN_S = 0.2
 WATCH_BACKOFF_MAX_S = 5.0
 # A reader also polls the latest-release pointer, in case its watch has silently
-# stopped delivering changes.
+# stopped delivering changes. The readers of the fleet take turns; in a small
+# fleet they poll more often, as a release has to be in force within 4 s.
 LATEST_POLL_S = 10.0
+MAX_POLL_GAP_S = 2.5
+# Accuracy of a turn: delays of timers, and differences between wall clocks.
+POLL_TURN_S = 0.1
 BOOTSTRAP_BACKOFF_MIN_S = 0.1
 BOOTSTRAP_BACKOFF_MAX_S = 3.0
 
--- a/bergamotmill/control/distribution.py
+++ b/bergamotmill/control/distribution.py
@@ -39,13 +39,26 @@
         peers: peer_links.PeerClient,
         rng: random.Random,
         now: Callable[[], float],
+        wall: Callable[[], float],
     ):
+        """Makes a distribution without a configuration.
+
+        Args:
+            releases: the releases in the store.
+            store: the store, whose watches tell of new releases.
+            membership: the other routers.
+            peers: client for calls to them.
+            rng: source of random delays and receivers.
+            now: the monotonic clock.
+            wall: the wall clock, by which readers take turns.
+        """
         self._releases = releases
         self._store = store
         self._membership = membership
         self._peers = peers
         self._rng = rng
         self._now = now
+        self._wall = wall
         self._configuration = core.empty_configuration()
         self._recent_notes: dict[int, bytes] = {}
         self._in_force_at: dict[int, float] = {}
@@ -162,16 +175,42 @@
 
     def _is_selected_reader(self) -> bool:
         own = self._membership.own
-        alive = self._membership.alive(own.data_centre)
-        names = {member.name for member in alive} | {own.name}
-        readers = rendezvous.top(
-            own.data_centre, names, const.READERS_PER_DATA_CENTRE
+        return own.name in self._readers_of(own.data_centre)
+
+    def _readers_of(self, data_centre: str) -> list[str]:
+        own = self._membership.own
+        alive = self._membership.alive(data_centre)
+        names = {member.name for member in alive}
+        if own.data_centre == data_centre:
+            names.add(own.name)
+        return rendezvous.top(data_centre, names, const.READERS_PER_DATA_CENTRE)
+
+    def _time_to_poll_s(self) -> float:
+        """Returns when it is this router's turn to poll, in seconds.
+
+        The readers of all data centres take turns, so that a release that no
+        watch reports is found by one of them soon, and pushed to all.
+        """
+        own = self._membership.own
+        alive = self._membership.alive()
+        data_centres = {m.data_centre for m in alive} | {own.data_centre}
+        readers = sorted(
+            {
+                name
+                for data_centre in data_centres
+                for name in self._readers_of(data_centre)
+            }
+            | {own.name}
         )
-        return own.name in readers
+        period_s = min(const.LATEST_POLL_S, const.MAX_POLL_GAP_S * len(readers))
+        turn_s = period_s * readers.index(own.name) / len(readers)
+        wait_s = (turn_s - self._wall()) % period_s
+        # A turn that has just been taken is not taken again.
+        return wait_s if wait_s > const.POLL_TURN_S else wait_s + period_s
 
     async def _watch_until_poll(self) -> None:
         """Watches until the watch ends or the next poll is due."""
-        due = self._now() + const.LATEST_POLL_S * self._rng.uniform(0.8, 1.2)
+        due = self._now() + self._time_to_poll_s()
         changes = self._store.watch(self._releases.latest_key)
         try:
             async with asyncio.timeout(due - self._now()):
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -135,6 +135,7 @@
             self._peers,
             self._rng,
             clock.monotonic,
+            clock.wall,
         )
         self.release_manager = release_manager.ReleaseManager(
             releases,
--- a/bergamotmill/standin/key_value.py
+++ b/bergamotmill/standin/key_value.py
@@ -37,6 +37,7 @@
         lose_answers: number of next calls, other than range reads and watches,
             that take effect but get no answer.
         delay_s: delay before each call is processed.
+        mute_watches: whether watches stay open and report no changes.
     """
 
     def __init__(self, address: str):
@@ -45,6 +46,7 @@
         self.down = False
         self.lose_answers = 0
         self.delay_s = 0.0
+        self.mute_watches = False
         self._watches: dict[http_server.Exchange, None] = {}
 
     @property
@@ -164,6 +166,8 @@
                         _encode_event(event) for event in next_change.result()
                     ]
                     next_change = None
+                if self.mute_watches:
+                    events = []
                 line = json.dumps({"result": {"events": events}})
                 exchange.write(line.encode() + b"\n")
         finally:
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -228,6 +228,21 @@
 
         self.run_cluster(scenario, SEVEN_ROUTERS)
 
+    # CONFIG, issue 26: the readers polled every 10 s, at any phase.
+    def test_release_is_in_force_in_time_while_all_watches_are_silent(self):
+        async def scenario():
+            self.cluster.key_value.mute_watches = True
+            for number in range(2, 8):
+                await asyncio.sleep(3.3)
+                # Its publisher ends before it can push the release.
+                await self.cluster.publish(share_note(number), number - 2)
+                await self.cluster.crash_router(number - 2)
+                await self.wait_until_in_force(number)
+                await self.cluster.start_router(number - 2)
+                await asyncio.sleep(4.0)
+
+        self.run_cluster(scenario, SEVEN_ROUTERS)
+
     def test_idle_fleet_spares_the_key_value_service(self):
         async def scenario():
             store = self.cluster.key_value.store
