--- a/bergamotmill/bench/process_soak/faults.py
+++ b/bergamotmill/bench/process_soak/faults.py
@@ -9,7 +9,6 @@
 from collections.abc import Awaitable, Callable
 import random
 import signal
-import time
 
 from bergamotmill.bench.process_soak import const
 from bergamotmill.bench.process_soak import fleet as soak_fleet
@@ -69,7 +68,7 @@
     # Another fault may kill the process during its shutdown. A process that is
     # still starting may not handle SIGTERM yet, so the signal itself ends it.
     allowed_statuses = {0, -signal.SIGKILL}
-    if time.monotonic() - router.started_at < ROUTER_START_S:
+    if not router.serving:
         allowed_statuses.add(-signal.SIGTERM)
     router.send_signal(signal.SIGTERM)
     began = fleet.now()
--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -27,6 +27,8 @@
 from bergamotmill.util import tasks as background
 
 DATA_CENTRES = 2
+# Part of the line that a router writes when it begins to serve.
+STARTED_LINE = b'"event": "started"'
 MODEL = platform_fleet.MODEL
 # First value of the third octet for each kind of host; each kind has eight
 # values.
@@ -74,6 +76,8 @@
         self.process: asyncio.subprocess.Process | None = None
         # Refers to the process, also after its number is used again.
         self._descriptor = -1
+        # Where the lines of the present process begin.
+        self._log_offset = 0
         self.start_count = 0
         self.started_at = 0.0
         self.exit_expected = False
@@ -85,6 +89,13 @@
         """Whether the process has been started and has not exited."""
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def serving(self) -> bool:
+        """Whether the process has logged that it serves."""
+        with self.log_path.open("rb") as log_file:
+            log_file.seek(self._log_offset)
+            return STARTED_LINE in log_file.read()
+
     def address(self, name: str) -> str:
         """Returns one of the addresses in the settings."""
         return self.settings["router"][name]
@@ -108,6 +119,7 @@
         # no program can prevent.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         with self.log_path.open("ab") as log_file:
+            self._log_offset = log_file.tell()
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
--- a/bergamotmill/bench/process_soak/proxy.py
+++ b/bergamotmill/bench/process_soak/proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import socket
+import struct
 
 from bergamotmill.util import tasks as background
 
@@ -39,9 +41,19 @@
         self.silent = False
 
     def abort(self) -> None:
-        """Resets both sides."""
+        """Resets both sides; a plain close would look like a proper end."""
         for writer in (self.client_writer, self.server_writer):
-            writer.transport.abort()
+            _reset(writer)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    connection = writer.get_extra_info("socket")
+    if connection is not None and not writer.transport.is_closing():
+        # With a linger time of 0, closing resets the connection.
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
 
 
 class Proxy:
@@ -82,7 +94,7 @@
         client_writer: asyncio.StreamWriter,
     ) -> None:
         if self.link_faults.refusing:
-            client_writer.transport.abort()
+            _reset(client_writer)
             return
         host, _, port = self.target.rpartition(":")
         try:
@@ -90,7 +102,7 @@
                 host, int(port)
             )
         except OSError:
-            client_writer.transport.abort()
+            _reset(client_writer)
             return
         connection = _ProxiedConnection(client_writer, server_writer)
         self._connections.add(connection)
