Quarantine: engines whose entry is gone are about to end; no continuation

Some engines leave without a word after their entry is removed; what they lose is no evidence against prompts. Also, a copy of a run at a standby is not used for a quarantined prompt, and whole responses that are no streams count as answers.

--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -367,7 +367,7 @@
             )
         finally:
             self._unanswered.pop(call.request_id, None)
-        if progress.prompt is not None and progress.answer_began_at is not None:
+        if progress.prompt is not None and 200 <= status < 300:
             self._prompts.note_answer(progress.prompt)
         self._record_outcome(progress, "answered", status, upstream.entry.name)
 
@@ -387,6 +387,8 @@
         progress.standby = None
         if standby_copy is None or err.failure not in _CONTINUABLE_FAILURES:
             return False
+        if self._is_held_back(progress):
+            return False
         lost_upstream = choice.best.upstream
         refusal_reason = await self._continuation_refusal(
             progress.call, standby_copy, lost_upstream
@@ -482,10 +484,14 @@
         """Records what a lost connection says of the call's prompt."""
         if progress.prompt is None:
             return
-        if not self._fleet.upstreams.accepts_work(upstream):
-            # It was about to end anyway.
-            return
+        known = self._fleet.upstreams
         entry = upstream.entry
+        if known.by_name.get(entry.name) is not upstream or (
+            not known.accepts_work(upstream)
+        ):
+            # It was about to end anyway: some upstreams leave without a word
+            # after their entry is removed.
+            return
         answered_s = None
         if progress.answer_began_at is not None:
             answered_s = self._now() - progress.answer_began_at
--- a/tests/dispatch/test_crashing_prompts.py
+++ b/tests/dispatch/test_crashing_prompts.py
@@ -151,6 +151,19 @@
 
         self.run_fleet(scenario, routers=7, engines=9)
 
+    def test_streams_that_are_not_repeated_count_as_well(self):
+        async def scenario():
+            self.set_crashing_parts(CRASHING)
+            for router in range(4):
+                answer = await self.fleet.call(
+                    "review", router=router, parts=self.crashing_text()
+                )
+                self.assertNotEqual(answer.status, 200)
+            self.assertEqual(len(self.fleet.crashes), 2)
+            self.assert_at_most_once()
+
+        self.run_fleet(scenario, routers=4, engines=5)
+
     def test_two_parts_at_fault_are_both_held_back(self):
         async def scenario():
             self.set_crashing_parts(CRASHING)
@@ -393,6 +406,29 @@
 
         self.run_fleet(lambda: self.play_sound(crash), routers=7, engines=9)
 
+    def test_engines_that_leave_without_a_word_are_no_evidence(self):
+        async def scenario():
+            for standin in list(self.fleet.replicas.values())[:2]:
+                standin.engine.prefill_tokens_per_s = 100.0
+            calls = asyncio.gather(
+                *(
+                    self.fleet.call("check", router=index % 3)
+                    for index in range(6)
+                )
+            )
+            await asyncio.sleep(0.1)
+            busy = [s for s in self.fleet.replicas.values() if s.runs]
+            for standin in busy:
+                await standin.deregister()
+            await asyncio.sleep(0.5)
+            for standin in busy:
+                self.fleet.crash_for_a_time(standin)
+            await calls
+            for router in self.fleet.routers.values():
+                self.assertNotIn("upstream.ended", router.metrics.counts)
+
+        self.run_fleet(scenario)
+
     def test_connections_that_are_reset_are_no_evidence(self):
         async def scenario():
             for standin in self.fleet.replicas.values():
