Tests: crashing prompts while other things fail, by seed

Two or three of: a store that fails, routers restarted (some or all), lost messages between routers, a data centre cut off, engines that end by themselves, new weights.

--- a/tests/dispatch/test_crashing_prompts.py
+++ b/tests/dispatch/test_crashing_prompts.py
@@ -5,6 +5,7 @@
 import unittest
 
 from bergamotmill.platform import const
+from bergamotmill.standin.platform import fleet
 from bergamotmill.standin.platform import store
 from tests import platform_case
 
@@ -23,6 +24,8 @@
 # Long enough for a trial and what follows it, and too short for a trial.
 PLAY_S = 48.0
 SHORT_PLAY_S = 24.0
+DISTURBED_CALM_S = 4.0
+DISTURBED_PLAY_S = 26.0
 
 
 class CrashingLoad(platform_case.PlatformCase):
@@ -40,8 +43,11 @@
         return f"sys:512,{CRASHING}:300,{rng.random()}:300"
 
     async def send(self, results, parts, rng, repeats=0.0, **fields):
-        router = rng.choice(sorted(self.fleet.routers))
         began = self.now()
+        if not self.fleet.routers:
+            results.append((began, fleet.Answer(0)))
+            return
+        router = rng.choice(sorted(self.fleet.routers))
         answer = await self.fleet.call(
             "check", router=router, parts=parts, output=5, **fields
         )
@@ -440,5 +446,141 @@
         self.run_fleet(scenario)
 
 
+class RandomDisturbancesTest(CrashingLoad):
+    """Crashing prompts while other things fail, drawn by a seed."""
+
+    async def silence_store(self, rng):
+        modes = [mode for mode in store.Mode if mode is not store.Mode.SERVING]
+        self.fleet.store.mode = rng.choice(modes)
+        await asyncio.sleep(rng.uniform(2.0, 7.0))
+        self.fleet.store.mode = store.Mode.SERVING
+
+    async def restart_some(self, rng):
+        indices = sorted(self.fleet.routers)
+        for index in rng.sample(indices, rng.randint(1, 3)):
+            await self.restart(index, rng.uniform(0.2, 1.5))
+
+    async def restart_all(self, rng):
+        await asyncio.gather(
+            *(
+                self.restart(index, rng.uniform(0.2, 1.5))
+                for index in sorted(self.fleet.routers)
+            )
+        )
+
+    async def restart(self, index, pause_s):
+        if index not in self.fleet.routers:
+            return
+        await self.fleet.crash_router(index)
+        await asyncio.sleep(pause_s)
+        await self.fleet.start_router(index)
+
+    async def lose_messages(self, rng):
+        self.fleet.bus.loss_rate = rng.uniform(0.1, 0.5)
+        await asyncio.sleep(rng.uniform(2.0, 8.0))
+        self.fleet.bus.loss_rate = 0.0
+
+    async def cut_data_centre(self, rng):
+        cut = rng.randrange(self.fleet.sizes.data_centres)
+        for index in range(self.fleet.sizes.routers):
+            if index % self.fleet.sizes.data_centres != cut:
+                continue
+            host = fleet.router_host(index)
+            self.network.partition(host, fleet.STORE_HOST)
+            for other in range(self.fleet.sizes.routers):
+                if other % self.fleet.sizes.data_centres != cut:
+                    self.network.partition(host, fleet.router_host(other))
+        await asyncio.sleep(rng.uniform(2.0, 6.0))
+        self.network.heal()
+
+    async def end_engines(self, rng):
+        for _ in range(rng.randint(1, 4)):
+            engines = [s for s in self.fleet.replicas.values() if s.model]
+            self.fleet.crash_for_a_time(rng.choice(engines))
+            await asyncio.sleep(rng.uniform(0.0, 1.5))
+
+    async def change_weights(self, rng):
+        for version in (2, 3):
+            await self.fleet.store.write(
+                const.PREFIX_WEIGHTS + fleet.MODEL,
+                {"model": fleet.MODEL, "version": version},
+            )
+            await asyncio.sleep(rng.uniform(0.5, 4.0))
+
+    async def play_random(self, seed):
+        """Plays one seed; returns the engines that prompts have ended."""
+        rng = random.Random(seed)
+        disturbances = rng.sample(
+            [
+                self.silence_store,
+                self.restart_some,
+                self.restart_all,
+                self.lose_messages,
+                self.cut_data_centre,
+                self.end_engines,
+                self.change_weights,
+            ],
+            rng.randint(2, 3),
+        )
+        self.set_crashing_parts(CRASHING)
+        self.crashing_parts = lambda rng: (
+            f"sys:512,file{rng.randrange(12)}:90,{CRASHING}:300,"
+            f"{rng.random()}:300"
+        )
+        sound = asyncio.create_task(
+            self.play(
+                DISTURBED_CALM_S + DISTURBED_PLAY_S,
+                SOUND_PER_S,
+                self.sound_parts,
+                rng,
+            )
+        )
+        await asyncio.sleep(DISTURBED_CALM_S)
+        crashing = asyncio.create_task(
+            self.play(
+                DISTURBED_PLAY_S,
+                CRASHING_PER_S,
+                self.crashing_parts,
+                rng,
+                REPEAT_PROBABILITY,
+            )
+        )
+        await asyncio.sleep(rng.uniform(0.0, 2.0))
+        await asyncio.gather(*(disturb(rng) for disturb in disturbances))
+        calm_at = self.now() + CONTACT_S
+        await crashing
+        until = self.now()
+        results = await sound
+        ends = sorted(
+            run.began for run in self.fleet.runs() if run.outcome == "crashed"
+        )
+        if len(ends) >= CRASHES_UNTIL_LIMIT:
+            limit_at = max(calm_at, ends[CRASHES_UNTIL_LIMIT - 1] + CONTACT_S)
+            late = [at for at in self.arrivals(CRASHING) if at > limit_at]
+            self.assertLessEqual(len(late), MAX_REQUESTS_AFTER, seed)
+        self.assertTrue(ends)
+        last = max(calm_at, ends[:CRASHES_UNTIL_LIMIT][-1] + 2 * CONTACT_S)
+        before = [a.status == 200 for at, a in results if at < ends[0]]
+        after = [a.status == 200 for at, a in results if last < at < until]
+        self.assertGreaterEqual(len(after), 20)
+        self.assertGreaterEqual(
+            sum(after) / len(after),
+            MIN_BEGIN_RATIO * sum(before) / len(before),
+            seed,
+        )
+        return len(ends)
+
+    def test_fixed_seeds_keep_the_limits(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed):
+                self.setUp()
+                self.run_fleet(
+                    lambda seed=seed: self.play_random(seed),
+                    routers=7,
+                    engines=9,
+                    data_centres=3,
+                )
+
+
 if __name__ == "__main__":
     unittest.main()
