--- a/bergamotmill/cli/request_timeline.py
+++ b/bergamotmill/cli/request_timeline.py
@@ -18,6 +18,8 @@
 FIELD_ROUTER = "router"
 FIELD_TIME = "t"
 FIELD_UPSTREAM = "upstream"
+FIELD_QUARANTINE = "quarantine"
+FIELD_DETAIL = "detail"
 # Fields that are not repeated among the `name=value` pairs of a printed line:
 # the line starts with the first three, and the request is known.
 _FIELDS_NOT_IN_PAIRS = (FIELD_TIME, FIELD_ROUTER, FIELD_EVENT, FIELD_REQUEST)
@@ -59,7 +61,8 @@
     Attributes:
         lines: lines of the request itself, by time.
         context: state changes of its routers and its upstreams around the
-            time of the request, by time.
+            time of the request, and at any time those of the quarantine that
+            held it back, by time.
         unreadable: places of the lines that could not be parsed.
     """
 
@@ -140,12 +143,18 @@
         "",
     }
     routers = {line.fields.get(FIELD_ROUTER) for line in request_lines}
+    details = " ".join(
+        str(line.fields.get(FIELD_DETAIL, "")) for line in request_lines
+    )
     selected = [
         line
         for line in state_changes
-        if window_start <= line.time <= window_end
-        and line.fields.get(FIELD_ROUTER) in routers
-        and line.fields.get(FIELD_UPSTREAM, "") in upstreams | {""}
+        if line.fields.get(FIELD_ROUTER) in routers
+        and (
+            line.fields.get(FIELD_QUARANTINE, "\n") in details
+            or window_start <= line.time <= window_end
+            and line.fields.get(FIELD_UPSTREAM, "") in upstreams | {""}
+        )
     ]
     return tuple(sorted(selected, key=_line_time))
 
--- a/tests/cli/test_request_timeline.py
+++ b/tests/cli/test_request_timeline.py
@@ -21,6 +21,12 @@
     {"t": 99.0, "router": "vm-2", "event": "store_lost"},
     {"t": 10.0, "router": "vm-2", "event": "choice", "request": "b2",
      "upstream": "e1"},
+    {"t": 50.0, "router": "vm-2", "event": "outcome", "request": "c3",
+     "status": 503, "detail": "quarantine 8f"},
+    {"t": 20.0, "router": "vm-2", "event": "part_quarantined",
+     "quarantine": "8f", "parts": ["c0ffee"]},
+    {"t": 20.0, "router": "vm-2", "event": "part_quarantined",
+     "quarantine": "a7", "parts": ["decaf"]},
 ]  # fmt: skip
 
 
@@ -43,10 +49,14 @@
         context = [line.fields for line in self.collect("a1").context]
         self.assertEqual(context, [LINES[2]])
 
+    def test_context_names_the_quarantine_that_held_a_request_back(self):
+        context = [line.fields for line in self.collect("c3").context]
+        self.assertEqual(context, [LINES[8]])
+
     def test_malformed_and_truncated_lines_are_reported_as_unreadable(self):
         unreadable = self.collect("a1").unreadable
         self.assertEqual(len(unreadable), 2)
-        self.assertTrue(unreadable[0].endswith("router.log:8"))
+        self.assertTrue(unreadable[0].endswith("router.log:11"))
 
     def test_prefix_of_log_collector_is_ignored(self):
         text = "   1.5 vm-1 " + json.dumps(LINES[0])
