Quarantine: routers that start learn the entries with the configuration

While the store is away a router gets its configuration from a peer; the reply now has the newest 64 entries as well. Test: five routers restarted while the store is away hold the part back from their first request on; without the change the first of them let it pass (502 instead of 503).

--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -37,6 +37,8 @@
 # Entries that it repeats in one period: with three crashes each, they are
 # 1.6 KB/s together.
 GOSSIP_ENTRIES = 4
+# Entries that a router gets at once from a peer that it asks for documents.
+MAX_ENTRIES_FOR_PEER = 64
 # Shortest time after which callers are told to come back.
 MIN_RETRY_AFTER_S = 1.0
 
@@ -302,6 +304,16 @@
         else:
             self._apply(entry, message.sender)
 
+    def newest_notices(self) -> list[peer_pb2.QuarantineNotice]:
+        """Returns messages with the newest entries, for a peer that starts."""
+        entries = sorted(
+            self._state.entries.values(), key=lambda item: -item.since_ms
+        )
+        return [
+            codec.encode_notice(self._links.own_name, entry)
+            for entry in entries[:MAX_ENTRIES_FOR_PEER]
+        ]
+
     def on_document(
         self, key: str, value: bytes | None, revision: int, source: str
     ) -> None:
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -242,6 +242,7 @@
             self._clock,
             self._rng,
         )
+        self.feed.set_prompt_entries(self.quarantine)
         self.feed.add_listener(self._on_document)
 
     def _build_dispatch(self, factories: Factories) -> None:
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -79,6 +79,16 @@
         """Adds the ages that a peer knows."""
 
 
+class PromptEntries(Protocol):
+    """Keeps the quarantine entries, which the store may not have yet."""
+
+    def newest_notices(self) -> list[peer_pb2.QuarantineNotice]:
+        """Returns the newest entries."""
+
+    def on_notice(self, message: peer_pb2.QuarantineNotice) -> None:
+        """Applies an entry that a peer knows."""
+
+
 class StoreReaders(Protocol):
     """Selects the routers that read the store directly."""
 
@@ -155,6 +165,7 @@
         self._documents: dict[str, Document] = {}
         self._listeners: list[Listener] = []
         self._ages: WeightsAges | None = None
+        self._prompt_entries: PromptEntries | None = None
         # When the present call to the store was sent; None between calls.
         self._called_at: float | None = None
         # Whether the store should have answered that call by now.
@@ -250,6 +261,10 @@
         """Sets the ages of weights to exchange with peers on each pull."""
         self._ages = ages
 
+    def set_prompt_entries(self, entries: PromptEntries) -> None:
+        """Sets the quarantine entries to exchange with peers on each pull."""
+        self._prompt_entries = entries
+
     def document(self, key: str) -> Document | None:
         """Returns the latest known state of a key; None if it is unknown."""
         return self._documents.get(key)
@@ -611,6 +626,9 @@
         self._adopt_all(name, reply.documents)
         if self._ages is not None:
             self._ages.merge_ages(name, reply.ages)
+        if self._prompt_entries is not None:
+            for notice in reply.quarantine:
+                self._prompt_entries.on_notice(notice)
         if reply.revision >= self._revision:
             self._confirmed_at = self._now()
         self._revision = max(self._revision, reply.revision)
@@ -635,10 +653,12 @@
                 if version > asked.get(key, 0)
                 and self._documents[key].revision <= request.after_revision
             ]
+        entries = self._prompt_entries
         return peer_pb2.DocumentsReply(
             documents=documents,
             revision=self._revision,
             ages=[] if self._ages is None else self._ages.known_ages(),
+            quarantine=[] if entries is None else entries.newest_notices(),
         )
 
     def _documents_after(self, revision: int) -> list[peer_pb2.Document]:
--- a/tests/dispatch/test_crashing_prompts.py
+++ b/tests/dispatch/test_crashing_prompts.py
@@ -247,6 +247,26 @@
 
         self.run_fleet(scenario, routers=5, engines=5)
 
+    def test_started_router_knows_the_part_while_the_store_is_away(self):
+        async def scenario():
+            self.fleet.store.mode = store.Mode.BUSY
+            await asyncio.sleep(1.0)
+            await self.provoke()
+            crashes = len(self.fleet.crashes)
+            for index in range(1, 6):
+                await self.fleet.crash_router(index)
+                router = await self.fleet.start_router(index)
+                while not router.is_ready():
+                    await asyncio.sleep(0.01)
+                answer = await self.fleet.call(
+                    "check", router=index, parts=self.crashing_text()
+                )
+                self.assertEqual(answer.status, 503)
+                await asyncio.sleep(1.0)
+            self.assertEqual(len(self.fleet.crashes), crashes)
+
+        self.run_fleet(scenario, routers=7, engines=9)
+
     def test_routers_that_were_cut_off_learn_of_the_part(self):
         async def scenario():
             cut_off = [f"10.0.0.{index + 1}" for index in (0, 1, 2)]
