Quarantine: contested trials do not meet, young routers need more evidence

In its first 8 s a router asks for three crashes of a part that it has not seen answered; contested entries get trials at moments of their own, and stay contested, with short pauses, until one of them is cleared.

--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -109,7 +109,7 @@
         self._links = links
         self._clock = clock
         self._rng = rng
-        self._state = prompt_quarantine.PromptQuarantine()
+        self._state = prompt_quarantine.PromptQuarantine(clock.monotonic())
         self._listeners: list[Listener] = []
         # Keys of entries that this router has to write or to remove.
         self._to_write: set[str] = set()
@@ -362,7 +362,9 @@
         revision = self._links.revision(key)
         if not revision:
             return False
-        tried = entry.after_trial(self._clock.wall())
+        tried = entry.after_trial(
+            self._clock.wall(), self._state.is_contested(entry)
+        )
         written = await self._links.store.put(
             key, codec.encode_document(tried), revision
         )
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -29,9 +29,13 @@
 MAX_ENTRIES_PER_CUSTOMER = 4
 # Pause before the first trial, the second and so on; the last one repeats.
 TRIAL_PAUSES_S = (30.0, 120.0, 600.0, 3600.0)
-# Pause before the first trial of an entry whose crashes another part explains
-# as well.
-CONTESTED_TRIAL_PAUSE_S = 0.5
+# The same for an entry whose crashes another entry explains as well: the first
+# pause is drawn from the range, so that the trials of the two do not meet, and
+# each trial that fails doubles the next one.
+CONTESTED_TRIAL_PAUSES_S = (0.5, 4.0)
+# A router that has run for less than this time cannot tell a part that was
+# never answered from one that it has not seen yet.
+YOUNG_S = 8.0
 # Oldest are dropped first. A crash leaves evidence against the parts of at most
 # 64 prompts, the slots of a replica.
 MAX_ENTRIES = 256
@@ -135,12 +139,18 @@
         """Whether a prompt contains all parts of the entry."""
         return self.model == prompt.model and self.parts <= prompt.parts
 
-    def after_trial(self, wall_s: float) -> "Entry":
-        """Returns the entry as it is while a trial runs."""
+    def after_trial(self, wall_s: float, contested: bool) -> "Entry":
+        """Returns the entry as it is while a trial runs.
+
+        Args:
+            wall_s: present time in Unix seconds.
+            contested: whether another entry still explains its crashes.
+        """
+        pause_s = _trial_pause_s(self.trials + 1)
+        if contested:
+            pause_s = min(pause_s, CONTESTED_TRIAL_PAUSES_S[1] * 2**self.trials)
         return dataclasses.replace(
-            self,
-            trials=self.trials + 1,
-            next_trial_at=wall_s + _trial_pause_s(self.trials + 1),
+            self, trials=self.trials + 1, next_trial_at=wall_s + pause_s
         )
 
 
@@ -156,6 +166,13 @@
     successor: Entry | None = None
 
 
+def _contested_pause_s(key: str) -> float:
+    """Returns the pause before the first trial of a contested entry."""
+    shortest, longest = CONTESTED_TRIAL_PAUSES_S
+    fraction = int(key, 16) / (1 << 64)
+    return shortest + (longest - shortest) * fraction
+
+
 def _trial_pause_s(trials: int) -> float:
     return TRIAL_PAUSES_S[min(trials, len(TRIAL_PAUSES_S) - 1)]
 
@@ -230,7 +247,13 @@
 class PromptQuarantine:
     """The evidence for and against parts of prompts, and the entries."""
 
-    def __init__(self):
+    def __init__(self, began_at: float = float("-inf")):
+        """Makes a quarantine without entries.
+
+        Args:
+            began_at: monotonic time from which answers are recorded.
+        """
+        self._began_at = began_at
         self._recent = _AnsweredParts(EVIDENCE_WINDOW_S)
         self._ever = _AnsweredParts(MEMORY_WINDOW_S)
         self._crashes = _CrashesByPart()
@@ -341,6 +364,8 @@
         min_unanswered = MIN_CRASHES_UNANSWERED
         if self._entry_count(prompt.customer) >= MAX_ENTRIES_PER_CUSTOMER:
             min_unanswered = 1
+        if now - self._began_at < YOUNG_S:
+            min_unanswered = MIN_CRASHES_NOT_LATELY
         for name in prompt.parts:
             part = (prompt.model, name)
             crashes[name] = self._open_crashes(part, now)
@@ -367,7 +392,7 @@
         trials = 0 if previous is None else previous.trials
         pause_s = _trial_pause_s(trials)
         if contested and not trials:
-            pause_s = CONTESTED_TRIAL_PAUSE_S
+            pause_s = _contested_pause_s(entry.key)
         return dataclasses.replace(
             entry, trials=trials, next_trial_at=wall_s + pause_s
         )
@@ -393,6 +418,15 @@
                 return True
         return False
 
+    def is_contested(self, entry: Entry) -> bool:
+        """Whether another entry explains crashes of a contested one."""
+        return entry.contested and any(
+            other.contested
+            and other.crashes & entry.crashes
+            and not other.parts & entry.parts
+            for other in self._entries.values()
+        )
+
     def apply(self, entry: Entry) -> bool:
         """Puts an entry in force; False if nothing changes."""
         key = entry.key
@@ -421,13 +455,18 @@
         ]
 
     def add_crash(self, entry: Entry, crash: Crash) -> Entry:
-        """Returns an entry that explains one more crash."""
+        """Returns an entry that explains one more crash.
+
+        It stays contested while another entry may be the cause instead.
+        """
         known = sorted(
             entry.crashes - {crash}, key=lambda item: item.incarnation
         )
         kept = known[-(MAX_CRASHES_PER_ENTRY - 1) :]
         return dataclasses.replace(
-            entry, crashes=frozenset([*kept, crash]), contested=False
+            entry,
+            crashes=frozenset([*kept, crash]),
+            contested=self.is_contested(entry),
         )
 
     def clear(self, key: str, since_ms: int) -> bool:
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -32,6 +32,7 @@
         continued: whether it continues from a copy of the KV cache.
         parts: names of the parts of its prompt.
         answered: whether the first bytes of its answer were sent.
+        unframed: whether its answer has neither a length nor chunks.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     continued: bool = False
     parts: tuple[str, ...] = ()
     answered: bool = False
+    unframed: bool = False
 
 
 @dataclasses.dataclass
@@ -373,11 +375,11 @@
         status = 500 if self.faults.errors else 200
         body = b"done:" + run.request_id.encode() + exchange.request.body
         if self.faults.unframed and not self.faults.errors:
-            self._start(exchange)
-            self._write(exchange, body[:2])
+            self._start(exchange, run)
+            self._write(exchange, run, body[:2])
             run.answered = True
             await asyncio.sleep(self.faults.pause_after_start_s)
-            self._write(exchange, body[2:])
+            self._write(exchange, run, body[2:])
             return
         exchange.respond(status, body, self._success_headers(exchange))
         if self.faults.extra_after_s >= 0:
@@ -459,7 +461,7 @@
         self, exchange, run: Run, work, output: int
     ) -> None:
         """Writes one event for every `tokens_per_event` tokens generated."""
-        self._start(exchange)
+        self._start(exchange, run)
         if self.faults.end_after_head:
             run.outcome = "cut"
             return
@@ -477,33 +479,34 @@
                 return
             if self.faults.cut_after and number > self.faults.cut_after:
                 run.outcome = "cut"
-                self._write(exchange, b"id: %d\nda" % number)
+                self._write(exchange, run, b"id: %d\nda" % number)
                 await asyncio.sleep(0)
                 exchange.abort()
                 return
-            self._write(exchange, EVENT_FORMAT % (number, number))
+            self._write(exchange, run, EVENT_FORMAT % (number, number))
             await exchange.drain()
             is_first, run.answered = not run.answered, True
             if is_first and self.faults.pause_after_start_s:
                 await asyncio.sleep(self.faults.pause_after_start_s)
         # An unframed answer ends when the connection closes after this.
-        if not self.faults.unframed:
+        if not run.unframed:
             exchange.finish()
         run.outcome = "ok"
 
-    def _start(self, exchange) -> None:
+    def _start(self, exchange, run: Run) -> None:
         """Writes the head of a successful answer."""
         headers = self._success_headers(exchange)
-        if not self.faults.unframed:
+        run.unframed = self.faults.unframed
+        if not run.unframed:
             exchange.start(200, headers)
             return
         lines = [name + b": " + value for name, value in headers]
         lines = [b"HTTP/1.1 200 OK", *lines, b"connection: close", b"", b""]
         exchange.write_raw(b"\r\n".join(lines))
 
-    def _write(self, exchange, data: bytes) -> None:
+    def _write(self, exchange, run: Run, data: bytes) -> None:
         """Writes a part of the body of a successful answer."""
-        if self.faults.unframed:
+        if run.unframed:
             exchange.write_raw(data)
         else:
             exchange.write(data)
--- a/tests/dispatch/test_crashing_prompts.py
+++ b/tests/dispatch/test_crashing_prompts.py
@@ -5,6 +5,7 @@
 import unittest
 
 from bergamotmill.platform import const
+from bergamotmill.routing import prompt_quarantine
 from bergamotmill.standin.platform import fleet
 from bergamotmill.standin.platform import store
 from tests import platform_case
@@ -159,6 +160,7 @@
 
     def test_streams_that_are_not_repeated_count_as_well(self):
         async def scenario():
+            await asyncio.sleep(prompt_quarantine.YOUNG_S)
             self.set_crashing_parts(CRASHING)
             for router in range(4):
                 answer = await self.fleet.call(
@@ -269,11 +271,13 @@
 
     def test_routers_that_were_cut_off_learn_of_the_part(self):
         async def scenario():
+            await asyncio.sleep(prompt_quarantine.YOUNG_S)
             cut_off = [f"10.0.0.{index + 1}" for index in (0, 1, 2)]
             others = [f"10.0.0.{index + 1}" for index in (3, 4, 5, 6)]
             for host in cut_off:
                 for other in [*others, "10.0.3.1"]:
                     self.network.partition(host, other)
+            await asyncio.sleep(prompt_quarantine.YOUNG_S)
             self.set_crashing_parts(CRASHING)
             await self.fleet.call("check", router=4, parts=self.crashing_text())
             self.assertEqual(len(self.fleet.crashes), 2)
@@ -294,6 +298,7 @@
 
     async def provoke(self):
         """Has a request crash two engines, and returns its answer."""
+        await asyncio.sleep(prompt_quarantine.YOUNG_S)
         self.set_crashing_parts(CRASHING)
         answer = await self.fleet.call("check", parts=self.crashing_text())
         self.assertEqual(len(self.fleet.crashes), 2)
--- a/tests/routing/test_prompt_quarantine.py
+++ b/tests/routing/test_prompt_quarantine.py
@@ -161,6 +161,29 @@
         # Its crashes still count against the other part.
         self.assertIsNotNone(self.crash(2, "rare"))
 
+    def test_trials_of_contested_entries_come_soon_until_one_is_cleared(self):
+        for number in (1, 2):
+            self.state.record_crash(prompt("rare"), crash(number), self.now)
+        self.crash(1, "bad")
+        bad = self.crash(2, "bad")
+        rare = self.crash(2, "rare")
+        self.assertTrue(self.state.is_contested(bad))
+        self.assertNotEqual(bad.next_trial_at, rare.next_trial_at)
+        longest = prompt_quarantine.CONTESTED_TRIAL_PAUSES_S[1]
+        tried = rare.after_trial(WALL_S, self.state.is_contested(rare))
+        self.assertLessEqual(tried.next_trial_at, WALL_S + longest)
+        # A crash in its trial may be that of the other part.
+        self.assertTrue(self.state.add_crash(rare, crash(3)).contested)
+        self.state.clear(rare.key, rare.since_ms)
+        self.assertFalse(self.state.is_contested(bad))
+        self.assertFalse(self.state.add_crash(bad, crash(4)).contested)
+
+    def test_young_router_needs_more_evidence(self):
+        self.state = prompt_quarantine.PromptQuarantine(self.now - 1.0)
+        self.assertIsNone(self.crash(1, "new"))
+        self.assertIsNone(self.crash(2, "new"))
+        self.assertIsNotNone(self.crash(3, "new"))
+
     def test_customer_with_many_entries_gets_one_crash_for_a_part(self):
         limit = prompt_quarantine.MAX_ENTRIES_PER_CUSTOMER
         for index in range(limit):
@@ -194,7 +217,7 @@
         self.assertTrue(self.state.apply(newer))
 
     def test_entry_that_is_made_again_keeps_its_trials(self):
-        entry = self.quarantine("bad").after_trial(WALL_S)
+        entry = self.quarantine("bad").after_trial(WALL_S, False)
         self.state.apply(entry)
         self.state.clear(entry.key, entry.since_ms)
         self.now += 1.0
@@ -209,7 +232,7 @@
         entry = self.quarantine("bad")
         pauses = []
         for _ in range(6):
-            entry = entry.after_trial(WALL_S)
+            entry = entry.after_trial(WALL_S, False)
             pauses.append(entry.next_trial_at - WALL_S)
         self.assertEqual(pauses, sorted(pauses))
         self.assertEqual(pauses[0], prompt_quarantine.TRIAL_PAUSES_S[1])
@@ -219,7 +242,7 @@
         entry = self.quarantine("bad")
         versions = [
             entry,
-            entry.after_trial(WALL_S + 40.0),
+            entry.after_trial(WALL_S + 40.0, False),
             self.state.add_crash(entry, crash(9)),
         ]
         results = set()
