Quarantine: crashes that several other parts explain make an entry contested

An entry is now contested if other parts, alone or together, explain all of its crashes, and a trial clears it within 4 s.

That also makes the larger number of crashes for young routers needless, which cost one more engine: it is taken out again.

--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -109,7 +109,7 @@
         self._links = links
         self._clock = clock
         self._rng = rng
-        self._state = prompt_quarantine.PromptQuarantine(clock.monotonic())
+        self._state = prompt_quarantine.PromptQuarantine()
         self._listeners: list[Listener] = []
         # Keys of entries that this router has to write or to remove.
         self._to_write: set[str] = set()
--- a/bergamotmill/dispatch/attempt_runner.py
+++ b/bergamotmill/dispatch/attempt_runner.py
@@ -193,6 +193,9 @@
         finally:
             if not send_task.done():
                 send_task.cancel()
+            elif not send_task.cancelled():
+                # Marks a failure as seen that ended together with the wait.
+                send_task.exception()
 
     async def _is_dead(self, upstream: upstreams.Upstream) -> bool:
         """Whether a silent upstream refuses new connections as well."""
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -33,9 +33,6 @@
 # pause is drawn from the range, so that the trials of the two do not meet, and
 # each trial that fails doubles the next one.
 CONTESTED_TRIAL_PAUSES_S = (0.5, 4.0)
-# A router that has run for less than this time cannot tell a part that was
-# never answered from one that it has not seen yet.
-YOUNG_S = 8.0
 # Oldest are dropped first. A crash leaves evidence against the parts of at most
 # 64 prompts, the slots of a replica.
 MAX_ENTRIES = 256
@@ -115,7 +112,7 @@
         customer: customer of the request that led to the entry.
         since_ms: when it was made, in Unix milliseconds.
         crashes: the latest crashes that it explains.
-        contested: whether other parts explain them as well.
+        contested: whether other parts, alone or together, explain them as well.
         trials: number of trials begun.
         next_trial_at: when the next trial may begin, in Unix seconds.
     """
@@ -247,13 +244,7 @@
 class PromptQuarantine:
     """The evidence for and against parts of prompts, and the entries."""
 
-    def __init__(self, began_at: float = float("-inf")):
-        """Makes a quarantine without entries.
-
-        Args:
-            began_at: monotonic time from which answers are recorded.
-        """
-        self._began_at = began_at
+    def __init__(self):
         self._recent = _AnsweredParts(EVIDENCE_WINDOW_S)
         self._ever = _AnsweredParts(MEMORY_WINDOW_S)
         self._crashes = _CrashesByPart()
@@ -364,8 +355,6 @@
         min_unanswered = MIN_CRASHES_UNANSWERED
         if self._entry_count(prompt.customer) >= MAX_ENTRIES_PER_CUSTOMER:
             min_unanswered = 1
-        if now - self._began_at < YOUNG_S:
-            min_unanswered = MIN_CRASHES_NOT_LATELY
         for name in prompt.parts:
             part = (prompt.model, name)
             crashes[name] = self._open_crashes(part, now)
@@ -407,16 +396,15 @@
     def _has_other_cause(
         self, prompt: Prompt, crashes: frozenset[Crash], now: float
     ) -> bool:
-        """Whether a part that is not in the prompt explains all crashes."""
+        """Whether parts that are not in the prompt explain all crashes."""
+        unexplained = crashes
         for part in self._crashes.parts():
             if part[0] == prompt.model and part[1] in prompt.parts:
                 continue
-            if (
-                crashes <= self._crashes.of(part, now)
-                and not self._fleet_answers(part, now).ever
-            ):
-                return True
-        return False
+            others = unexplained & self._crashes.of(part, now)
+            if others and not self._fleet_answers(part, now).ever:
+                unexplained -= others
+        return not unexplained
 
     def is_contested(self, entry: Entry) -> bool:
         """Whether another entry explains crashes of a contested one."""
