--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -30,9 +30,8 @@
 # prompt: the replica may have ended as it wrote the answer.
 SETTLED_ANSWER_S = 0.05
 MAINTENANCE_PERIOD_S = 1.0
-# Routers to which a router repeats the entries in each period. A router that
-# hears from three others a period misses all of three periods once in 8,000
-# times.
+# Routers to which a router repeats entries in each period. A router that gets
+# three messages a period on average gets none in three periods once in 8,000.
 GOSSIP_FANOUT = 3
 # Entries that it repeats in one period: with three crashes each, they are
 # 1.6 KB/s together.
@@ -98,7 +97,7 @@
 
 
 class Quarantine:
-    """The quarantine of one router, kept in step with those of the others."""
+    """The quarantine of one router, synchronized with those of the others."""
 
     def __init__(
         self,
@@ -263,7 +262,7 @@
             self._broadcast(peer_pb2.NotifyRequest(crashes=[report]))
 
     def on_crash_report(self, message: peer_pb2.CrashReport) -> None:
-        """Records a peer's crash report, and says what speaks against it."""
+        """Records a peer's crash report, and returns the answers seen here."""
         now = self._clock.monotonic()
         prompt = prompt_quarantine.Prompt(
             message.model, frozenset(message.parts)
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -274,7 +274,8 @@
                 )
                 if err.failure is errors.Failure.LOST:
                     await self._note_loss(progress, choice.best.upstream)
-                progress.trial_of = ""
+                if err.ran:
+                    progress.trial_of = ""
                 if may_repeat:
                     continue
                 if await self._continue_at_standby(progress, sink, choice, err):
--- a/bergamotmill/dispatch/readers.py
+++ b/bergamotmill/dispatch/readers.py
@@ -47,15 +47,16 @@
         live = {member.name for member in self._alive(self._data_centre)}
         return live | {self._own_name}
 
-    def _first_of(self, names: set[str]) -> list[str]:
+    def _first_of(self, names: set[str], more: int = 0) -> list[str]:
         return rendezvous.top(
-            RENDEZVOUS_KEY, names, control_const.READERS_PER_DATA_CENTRE
+            RENDEZVOUS_KEY, names, control_const.READERS_PER_DATA_CENTRE + more
         )
 
     def _reader_names(self) -> list[str]:
         """Returns the first routers that have not lost the store.
 
-        If all have, the first routers try on.
+        The more have lost it, the more of the others try at once, as these may
+        have lost it too. If all have, the first routers try on.
         """
         names = self._router_names()
         forgotten_before = self._now() - const.READER_LOSS_MEMORY_S
@@ -64,7 +65,8 @@
             for name, since in self._unanswered_since.items()
             if since >= forgotten_before
         }
-        return self._first_of(names - lost or names)
+        more = min(len(lost & names), const.MAX_MORE_READERS)
+        return self._first_of(names - lost or names, more)
 
     def note_answers(self, name: str, answers: bool) -> None:
         """Records whether a router gets answers from the store."""
--- a/bergamotmill/streams/relay.py
+++ b/bergamotmill/streams/relay.py
@@ -297,7 +297,8 @@
 
     async def _note_loss(self, err: errors.UpstreamError) -> None:
         """Records what a lost connection says of the prompt."""
-        self._trial_of = ""
+        if err.ran:
+            self._trial_of = ""
         decision = self._decision
         client = self._context.engine_clients.get(self._replica)
         if (
