--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -175,8 +175,6 @@
 # A reader that has reported that the store does not answer is passed over until
 # it reports answers, or for this time.
 READER_LOSS_MEMORY_S = 30.0
-# Routers that try to read at the same time, beyond the usual number of readers.
-MAX_MORE_READERS = 2
 # First wait of a watch by a router that has become a reader: whether the store
 # answers it has to be known soon.
 WATCH_WAIT_NEW_READER_S = 0.1
--- a/bergamotmill/dispatch/readers.py
+++ b/bergamotmill/dispatch/readers.py
@@ -47,16 +47,15 @@
         live = {member.name for member in self._alive(self._data_centre)}
         return live | {self._own_name}
 
-    def _first_of(self, names: set[str], more: int = 0) -> list[str]:
+    def _first_of(self, names: set[str]) -> list[str]:
         return rendezvous.top(
-            RENDEZVOUS_KEY, names, control_const.READERS_PER_DATA_CENTRE + more
+            RENDEZVOUS_KEY, names, control_const.READERS_PER_DATA_CENTRE
         )
 
     def _reader_names(self) -> list[str]:
         """Returns the first routers that have not lost the store.
 
-        The more have lost it, the more of the others try at once, as these may
-        have lost it too. If all have, the first routers try on.
+        If all have, the first routers try on.
         """
         names = self._router_names()
         forgotten_before = self._now() - const.READER_LOSS_MEMORY_S
@@ -65,8 +64,7 @@
             for name, since in self._unanswered_since.items()
             if since >= forgotten_before
         }
-        more = min(len(lost & names), const.MAX_MORE_READERS)
-        return self._first_of(names - lost or names, more)
+        return self._first_of(names - lost or names)
 
     def note_answers(self, name: str, answers: bool) -> None:
         """Records whether a router gets answers from the store."""
