--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -300,9 +300,10 @@
         )
         standin.faults.crash_parts = self._crashing_parts
         standin.on_crash = self._on_crash
+        # Faults may stop a replica as soon as it is among the others.
+        await replica_proxy.start()
         self.proxies[name] = replica_proxy
         self._replica_set.add(standin)
-        await replica_proxy.start()
         await standin.start()
         return standin
 
