--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -3,7 +3,7 @@
 Crash reports and entries go to all routers as messages that may be lost.
 Entries are also documents in the store, from which routers read them after a
 restart and operators can list and remove them; and while there are entries,
-each router repeats its own to a few others, so that new routers and those that
+each router repeats some to a few others, so that new routers and those that
 were cut off learn of them while the store is away. A trial is begun by the
 router that writes it to the store first.
 """
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -44,8 +44,9 @@
 # An entry that nobody has asked for is dropped this long after its next trial
 # was due.
 IDLE_EXPIRY_S = 86_400.0
-# Longer names of parts are replaced by digests, so that messages stay small.
-MAX_PART_NAME_LENGTH = 32
+# Longer names of models and parts, which callers choose, are replaced by digests,
+# so that messages stay small.
+MAX_NAME_LENGTH = 64
 
 # Model and name of a part.
 Part = tuple[str, str]
@@ -73,13 +74,15 @@
         parts: names of the parts that other requests may have, too.
         customer: name of the request's customer.
     """
-    names = (
-        name
-        if len(name) <= MAX_PART_NAME_LENGTH
-        else f"{xxhash.xxh3_64_intdigest(name.encode()):016x}"
-        for name in parts
-    )
-    return Prompt(model, frozenset(names), customer)
+    names = frozenset(_shortened(name) for name in parts)
+    return Prompt(_shortened(model), names, customer)
+
+
+def _shortened(name: str) -> str:
+    """Returns a name, or its digest if it is long."""
+    if len(name) <= MAX_NAME_LENGTH:
+        return name
+    return f"{xxhash.xxh3_64_intdigest(name.encode()):016x}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
