--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -44,8 +44,8 @@
 # An entry that nobody has asked for is dropped this long after its next trial
 # was due.
 IDLE_EXPIRY_S = 86_400.0
-# Longer names of models and parts, which callers choose, are replaced by digests,
-# so that messages stay small.
+# Longer names of models and parts, which callers choose, are replaced by
+# digests, so that messages stay small.
 MAX_NAME_LENGTH = 64
 
 # Model and name of a part.
