--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -354,9 +354,10 @@
         """Stops a replica immediately; with `crash`, records it as lost."""
         if crash:
             self.observed.lost_at[name] = self.now()
+        # Other faults choose among the replicas while this one stops.
+        standin = self.replicas.pop(name)
         replica_proxy = self.proxies.pop(name)
         await replica_proxy.close()
-        standin = self.replicas.pop(name)
         self._stopped_replicas.append(standin)
         await standin.close()
 
