--- a/bergamotmill/dispatch/attempt_runner.py
+++ b/bergamotmill/dispatch/attempt_runner.py
@@ -39,7 +39,11 @@
         """Called with the time from the attempt to a successful response."""
 
 
-ApplySignals = Callable[[upstreams.Upstream, messages.UpstreamSignals], None]
+# Called with the upstream, what it says, and when the request was sent on the
+# clock that also runs during suspensions.
+ApplySignals = Callable[
+    [upstreams.Upstream, messages.UpstreamSignals, float], None
+]
 
 
 class AttemptRunner:
@@ -51,6 +55,7 @@
         response_relay: relay.ResponseRelay,
         apply_signals: ApplySignals,
         now: Callable[[], float],
+        boottime: Callable[[], float],
     ):
         """Makes a runner.
 
@@ -59,11 +64,13 @@
             response_relay: forwards responses to callers.
             apply_signals: applies what an upstream says of itself.
             now: the monotonic clock.
+            boottime: the clock that also runs during suspensions.
         """
         self._link = link
         self._relay = response_relay
         self._apply_signals = apply_signals
         self._now = now
+        self._boottime = boottime
         self._tasks = background.Tasks()
 
     async def close(self) -> None:
@@ -114,11 +121,12 @@
         response = watchdog = None
         try:
             started_at = self._now()
+            sent_at = self._boottime()
             response = await self._send(progress, attempt, upstream, observer)
             upstream.note_first_byte(call.request_id, self._now())
             if observer is not None and response.head.ok:
                 observer.on_first_byte(self._now() - started_at)
-            self._apply_signals(upstream, response.head.signals)
+            self._apply_signals(upstream, response.head.signals, sent_at)
             if call.generation is not None and response.head.weights_version:
                 upstream.note_weights(
                     call.generation.model, response.head.weights_version
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -307,6 +307,7 @@
                 self.seconds_until_exit,
                 self.metrics,
                 self._clock.monotonic,
+                self._clock.boottime,
                 self._rng,
             ),
         )
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -47,12 +47,14 @@
         seconds_until_exit: returns seconds until this process ends.
         metrics: counters and timings.
         now: the monotonic clock.
+        boottime: the clock that also runs during suspensions.
         rng: randomizes the choice of services and the retry hints.
     """
 
     seconds_until_exit: Callable[[], float]
     metrics: stats.Metrics
     now: Callable[[], float]
+    boottime: Callable[[], float]
     rng: random.Random
 
 
@@ -118,6 +120,7 @@
             self._relay,
             fleet.apply_signals,
             process.now,
+            process.boottime,
         )
 
     @property
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -14,6 +14,7 @@
 from bergamotmill.dispatch import upstreams
 from bergamotmill.helpers import decisions
 from bergamotmill.proto import peer_pb2
+from bergamotmill.routing import stated_limit
 from bergamotmill.storage import key_value
 from bergamotmill.util import clock as clocks
 
@@ -108,6 +109,8 @@
         self._routers_listeners: list[Callable[[], None]] = []
         self._weights_listeners: list[Callable[[], None]] = []
         self._leaving_listeners: list[Callable[[str, int], None]] = []
+        self._limit_listeners: list[Callable[[str, int, bool], None]] = []
+        self.limits = stated_limit.StatedLimits()
         self.upstreams = upstreams.Upstreams(clock.monotonic)
         feed.add_listener(self._on_document)
 
@@ -212,11 +215,36 @@
         """
         self._leaving_listeners.append(listener)
 
+    def add_limit_listener(
+        self, listener: Callable[[str, int, bool], None]
+    ) -> None:
+        """Calls the listener when the limit of an upstream changes.
+
+        Its arguments are name and incarnation of the upstream, and whether
+        this router heard the limit itself.
+        """
+        self._limit_listeners.append(listener)
+
     def apply_signals(
-        self, upstream: upstreams.Upstream, signals: messages.UpstreamSignals
+        self,
+        upstream: upstreams.Upstream,
+        signals: messages.UpstreamSignals,
+        sent_at: float,
     ) -> None:
-        """Applies what an upstream says of itself in a response."""
+        """Applies what an upstream says of itself in a response.
+
+        Args:
+            upstream: the upstream.
+            signals: what it says.
+            sent_at: when the request was sent, on the clock that also runs
+                during suspensions.
+        """
         name = upstream.entry.name
+        if signals.limit_per_s is not None:
+            statement = stated_limit.Statement(
+                signals.limit_per_s, sent_at, self._clock.boottime()
+            )
+            self.note_limit(name, upstream.entry.born, statement, name)
         if signals.leaving:
             self.note_leaving(name, upstream.entry.born, name)
         if signals.pause_s > 0:
@@ -227,6 +255,28 @@
                 seconds=round(signals.pause_s, 3),
             )
 
+    def note_limit(
+        self,
+        name: str,
+        born: int,
+        statement: stated_limit.Statement,
+        source: str,
+    ) -> None:
+        """Records the limit that an upstream names, as it or a peer says."""
+        before = self.limits.per_s(name, born)
+        if not self.limits.apply(name, born, statement):
+            return
+        decisions.record(
+            "upstream_limited",
+            upstream=name,
+            born=born,
+            limit_per_s=_format_limit(self.limits.per_s(name, born)),
+            before_per_s=_format_limit(before),
+            source=source,
+        )
+        for listener in self._limit_listeners:
+            listener(name, born, source == name)
+
     def note_leaving(self, name: str, born: int, source: str) -> None:
         """Records that an incarnation is leaving, as it or a peer says."""
         if not self.upstreams.mark_leaving(name, born):
@@ -425,3 +475,8 @@
 def _logged_state(entry: upstreams.UpstreamEntry) -> tuple[object, ...]:
     """Returns the fields of an entry whose changes are logged."""
     return (entry.born, entry.state, entry.address, dict(entry.weights))
+
+
+def _format_limit(per_s: float) -> float | None:
+    """Returns a limit as logged; None for an upstream without one."""
+    return None if per_s == stated_limit.UNLIMITED else per_s
--- a/bergamotmill/dispatch/messages.py
+++ b/bergamotmill/dispatch/messages.py
@@ -128,10 +128,14 @@
         leaving: whether it is about to shut down.
         pause_s: time for which it wants nothing from this router, in seconds;
             0 for none.
+        limit_per_s: requests per second that it takes from all routers
+            together; `stated_limit.UNLIMITED` if it names no limit, None if
+            the response says nothing of that.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 NO_SIGNALS = UpstreamSignals()
--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -503,10 +503,11 @@
                 await asyncio.sleep(min(pause_s, const.ORDER_LEASE_RENEW_S))
                 continue
             version = max(version, self._fleet.target_version(model))
+            sent_at = self._clock.boottime()
             reading = await self._link.read_status(engine.entry)
             now = self._clock.monotonic()
             reply = reading.err() if reading.is_err() else reading.ok()
-            self._fleet.apply_signals(engine, reply.signals)
+            self._fleet.apply_signals(engine, reply.signals, sent_at)
             if reading.is_err():
                 self._skip_until(engine, now + UNREACHABLE_RETRY_S)
                 decisions.record(
@@ -567,8 +568,9 @@
             >= self._old_weights_max_age_s * const.LATE_ORDER_FRACTION,
         )
         self._last_order_at[engine.entry.name] = self._clock.boottime()
+        sent_at = self._clock.boottime()
         reply = await self._link.send_order(order)
-        self._fleet.apply_signals(engine, reply.signals)
+        self._fleet.apply_signals(engine, reply.signals, sent_at)
         answer = reply.answer
         decisions.record(
             "order",
--- a/bergamotmill/platform/const.py
+++ b/bergamotmill/platform/const.py
@@ -53,6 +53,7 @@
 HEADER_NOT_RUN = "not-executed"
 HEADER_RETRY_AFTER = "retry-after"
 HEADER_LEAVING = "server-leaving"
+HEADER_LIMIT = "server-limit"
 HEADER_STORE_ERA = "store-era"
 
 # Headers that only the router may set on requests to replicas; values from
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 from typing import Any
 
 import result
@@ -15,8 +16,14 @@
 from bergamotmill.helpers import http_errors
 from bergamotmill.platform import const
 from bergamotmill.platform import documents
+from bergamotmill.routing import stated_limit
 from bergamotmill.upstream import errors
 
+# Unreadable limits of which each is logged once.
+MAX_LOGGED_LIMITS = 64
+_logged_limits: set[str] = set()
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+_MISDIRECTED_STATUS = 421
 _CALL_ERRORS = (http_errors.HttpError, TimeoutError, ValueError, KeyError)
 _STATUS_ERRORS = (*_CALL_ERRORS, TypeError, AttributeError)
 _ORDER_ANSWER_BY_STATUS = {
@@ -284,10 +291,40 @@
     if text and head.status == 503:
         pause_s = _parse_seconds(text)
     return messages.UpstreamSignals(
-        head.get_header(const.HEADER_LEAVING) == "1", pause_s
+        head.get_header(const.HEADER_LEAVING) == "1",
+        pause_s,
+        _parse_limit(head),
     )
 
 
+def _parse_limit(head: http_client.ResponseHead) -> float | None:
+    """Decodes the request rate that a replica names.
+
+    Returns:
+        The rate in requests per second; None if it cannot be read, or if
+        another replica may have responded, as with a misdirected request.
+    """
+    if head.status == _MISDIRECTED_STATUS:
+        return None
+    name = const.HEADER_LIMIT.encode()
+    values = [
+        value for header, value in head.raw_headers if header.lower() == name
+    ]
+    if not values:
+        return stated_limit.UNLIMITED
+    text = b", ".join(values).decode("latin-1")
+    if _DECIMAL.fullmatch(text):
+        limit_per_s = float(text)
+        if math.isfinite(limit_per_s):
+            return limit_per_s
+    if text not in _logged_limits and len(_logged_limits) < MAX_LOGGED_LIMITS:
+        _logged_limits.add(text)
+        decisions.record(
+            "header_unreadable", name=const.HEADER_LIMIT, value=text[:40]
+        )
+    return None
+
+
 def _parse_seconds(text: str) -> float:
     """Decodes a number of seconds; 0 for a value that is none."""
     try:
@@ -301,7 +338,7 @@
 
 
 def _not_run_reason(head: http_client.ResponseHead) -> messages.NotRun | None:
-    if head.status == 421:
+    if head.status == _MISDIRECTED_STATUS:
         return messages.NotRun.MISDIRECTED
     if not head.get_header(const.HEADER_NOT_RUN):
         return None
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -70,6 +70,8 @@
         retry_after_s: value of `Retry-After` in refusals, in seconds; 0 for
             none.
         says_leaving: whether answers say that the replica is leaving.
+        limit: value of the header in which answers name the requests per
+            second that the replica takes; empty for none.
         endless: part of an answer that never ends, until the caller
             disconnects: a key of `ENDLESS_PARTS`; empty for none.
         crash_parts: parts of prompts on which an engine crashes when it begins
@@ -93,6 +95,7 @@
     refuse: bool = False
     retry_after_s: float = 0.0
     says_leaving: bool = False
+    limit: str = ""
     endless: str = ""
     crash_parts: frozenset[str] = frozenset()
     unframed: bool = False
@@ -161,6 +164,7 @@
         refused: time, request id and customer of each request that was
             refused with status 503.
         received_at: time of each request, order and status query.
+        requests_at: time of each request, also of those that it refused.
         tokens_per_event: output tokens per event of a stream.
         engine: model of compute time and KV memory.
         kv_copies: ids of requests whose KV cache was copied here.
@@ -198,6 +202,7 @@
         self.ordered_at: list[float] = []
         self.refused: list[tuple[float, str, str]] = []
         self.received_at: list[float] = []
+        self.requests_at: list[float] = []
         self._publish = publish
         self._replica_at = replica_at
         self._recent_uses = engine_model.RecentUses()
@@ -264,7 +269,10 @@
 
     async def _handle(self, exchange: http_server.Exchange) -> None:
         request = exchange.request
-        self.received_at.append(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        self.received_at.append(now)
+        if request.path not in (const.PATH_REPORT, const.PATH_ORDER):
+            self.requests_at.append(now)
         expected = request.headers.get(
             const.HEADER_EXPECTED_UPSTREAM, self.name
         )
@@ -287,6 +295,10 @@
         ]
         if self.faults.says_leaving:
             headers.append((const.HEADER_LEAVING.encode(), b"1"))
+        if self.faults.limit:
+            headers.append(
+                (const.HEADER_LIMIT.encode(), self.faults.limit.encode())
+            )
         return headers
 
     def _refuse(self, exchange) -> None:
@@ -516,14 +528,13 @@
             self._refuse(exchange)
             return
         models = [{"name": self.model, "version": self.weights}]
-        exchange.respond_json(
-            200,
-            {
-                "models": models,
-                "busy": self._loading,
-                "sequence": len(self.orders),
-            },
-        )
+        body = {
+            "models": models,
+            "busy": self._loading,
+            "sequence": len(self.orders),
+        }
+        headers = self._identity_headers(exchange)
+        exchange.respond_json(200, body, headers)
 
     async def _handle_order(self, exchange) -> None:
         body = json.loads(exchange.request.body)
