Failing tests: upstreams get more requests than the limit that they name

On the stand-in platform 7 routers send 55 prompts and 28 plain calls a second, while some of 12 engines and 3 services name limits.

--- /dev/null
+++ b/tests/dispatch/test_stated_limits.py
@@ -0,0 +1,183 @@
+"""Upstreams that name the requests a second that they take from all routers."""
+
+import asyncio
+import random
+import unittest
+
+from tests import platform_case
+
+# The platform's limit: from this time after an upstream first named its limit,
+# any window holds at most this many times what it allows, and some more.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+ALLOWED_RATIO = 1.5
+ALLOWED_MORE = 5
+# Our own target: the limit itself and one request a router, from a second on.
+SETTLE_S = 1.0
+ROUTERS = 7
+ENGINES = 12
+SERVICES = 3
+PROMPTS_PER_S = 55.0
+PLAIN_PER_S = 28.0
+# A third of the prompts are on one file.
+HOT_FRACTION = 1 / 3
+CALM_S = 4.0
+PLAY_S = 14.0
+
+
+def worst_window(times, since):
+    """Returns the most requests in a window that ends after a time."""
+    times = sorted(times)
+    return max(
+        (
+            sum(1 for other in times if at - WINDOW_S < other <= at)
+            for at in times
+            if at >= since
+        ),
+        default=0,
+    )
+
+
+class LimitCase(platform_case.PlatformCase):
+    """Plays prompts and plain calls while upstreams name limits."""
+
+    def set_limit(self, name, limit):
+        self.fleet.replicas[name].faults.limit = str(limit)
+
+    def parts(self, rng):
+        file = 0 if rng.random() < HOT_FRACTION else rng.randrange(1, 60)
+        return f"sys:512,file{file}:4000,{rng.random()}:900"
+
+    async def send(self, results, route, rng):
+        began = self.now()
+        fields = {}
+        if route == "check":
+            fields = {"parts": self.parts(rng), "output": 5}
+        router = rng.choice(sorted(self.fleet.routers))
+        answer = await self.fleet.call(
+            route,
+            router=router,
+            key=rng.choice(["key-one", "key-two"]),
+            **fields,
+        )
+        results.append((began, route, answer))
+
+    async def play_route(self, results, route, per_s, seconds, rng):
+        end = self.now() + seconds
+        async with asyncio.TaskGroup() as group:
+            while self.now() < end:
+                await asyncio.sleep(rng.expovariate(per_s))
+                group.create_task(self.send(results, route, rng))
+
+    async def play(self, seconds, seed=1, per_s=PROMPTS_PER_S):
+        """Plays the load; returns start, route and answer of each request."""
+        rng = random.Random(seed)
+        results = []
+        await asyncio.gather(
+            self.play_route(results, "check", per_s, seconds, rng),
+            self.play_route(results, "lookup", PLAIN_PER_S, seconds, rng),
+        )
+        return results
+
+    async def play_limited(self, limits, seed=1, seconds=PLAY_S, **load):
+        """Plays calm time, then upstreams name limits; returns the results."""
+        await self.play(CALM_S, seed, **load)
+        self.named_at = self.now()
+        for name, limit in limits.items():
+            self.set_limit(name, limit)
+        return await self.play(seconds, seed + 1, **load)
+
+    def requests_at(self, name, since):
+        replica = self.fleet.replicas[name]
+        return [at for at in replica.requests_at if at > since]
+
+    def assert_limit_held(self, name, limit):
+        """Asserts the platform's limit, and our own target."""
+        # The first requests pass before any router can have heard the limit.
+        times = self.requests_at(name, self.named_at + 0.5)
+        self.assertLessEqual(
+            worst_window(times, self.named_at + CONTACT_S),
+            ALLOWED_RATIO * WINDOW_S * limit + ALLOWED_MORE,
+            name,
+        )
+        times = self.requests_at(name, self.named_at + SETTLE_S)
+        self.assertLessEqual(
+            worst_window(times, self.named_at),
+            WINDOW_S * limit + len(self.fleet.routers),
+            name,
+        )
+
+    def served(self, results, route="check"):
+        statuses = [a.status for _, r, a in results if r == route]
+        return statuses.count(200) / len(statuses)
+
+    def run_play(self, scenario, **sizes):
+        sizes = {
+            "routers": ROUTERS,
+            "engines": ENGINES,
+            "services": SERVICES,
+            **sizes,
+        }
+        self.run_fleet(scenario, **sizes)
+
+    def busiest_engines(self, count):
+        engines = [r for r in self.fleet.replicas.values() if r.model]
+        engines.sort(key=lambda r: -len(r.requests_at))
+        return [r.name for r in engines[:count]]
+
+
+class LoadTest(LimitCase):
+    # LIMIT, issue 32: the routers together sent several times the limit.
+    def test_busy_engines_get_no_more_than_their_limits(self):
+        async def scenario():
+            await self.play(CALM_S)
+            first, second = self.busiest_engines(2)
+            results = await self.play_limited({first: 1.7, second: 1.5})
+            self.assert_limit_held(first, 1.7)
+            self.assert_limit_held(second, 1.5)
+            self.assertGreater(self.served(results), 0.98)
+
+        self.run_play(scenario)
+
+    def test_plain_replica_gets_no_more_than_its_limit(self):
+        async def scenario():
+            results = await self.play_limited({"s1": 1.6})
+            self.assert_limit_held("s1", 1.6)
+            self.assertGreater(self.served(results, "lookup"), 0.98)
+
+        self.run_play(scenario)
+
+    def test_limits_that_fall_by_steps_are_held(self):
+        async def scenario():
+            await self.play(CALM_S)
+            names = self.busiest_engines(2)
+            for limit in (6, 3, 1.5, 0.4):
+                self.named_at = self.now()
+                for name in names:
+                    self.set_limit(name, limit)
+                await self.play(2 * WINDOW_S)
+                for name in names:
+                    self.assert_limit_held(name, limit)
+
+        self.run_play(scenario)
+
+    def test_all_engines_name_limits(self):
+        async def scenario():
+            limits = {f"e{index}": 1.6 for index in range(ENGINES)}
+            results = await self.play_limited(limits)
+            for name, limit in limits.items():
+                self.assert_limit_held(name, limit)
+            # What the engines take is used: at least three quarters of it.
+            settled = self.named_at + CONTACT_S
+            taken = sum(len(self.requests_at(n, settled)) for n in limits)
+            capacity = sum(limits.values()) * (self.now() - settled)
+            self.assertGreater(taken, 0.75 * capacity)
+            for _, route, answer in results:
+                if route == "check":
+                    self.assertIn(answer.status, (200, 503))
+
+        self.run_play(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
