Limits of upstreams: no wait where an unlimited one serves; no priority starves

A request that waits for allowance in vain is late at the engines without a limit; and strict priority gives less urgent kinds nothing once all engines are limited. Change: while an upstream without a limit can serve a request, allowance is taken only if it is there at once. A pool grants each priority about the same fraction of its claims. Allowance of attempts that could not be sent returns. Placement owners are told the wait itself, without the pause of the router that reports it.

--- a/bergamotmill/bench/dispatch.py
+++ b/bergamotmill/bench/dispatch.py
@@ -20,6 +20,8 @@
 POLICIES = ("ours", "held_for_ever", "least_loaded", "hash_by_prefix")
 # Fraction of its worth that a request earns if it misses its target.
 LATE_CREDIT_RATIO = 0.3
+# In the case `limited`, this many engines name limits.
+LIMITED_ENGINES = 2
 # Tokens that an engine sends in one event of a stream.
 TOKENS_PER_EVENT = 5
 # In the case `crashing`, prompts with this part crash engines; they arrive at
@@ -259,6 +261,11 @@
         if case == "unframed":
             for standin in fleet.replicas.values():
                 standin.faults.unframed = True
+        if case in ("limited", "all_limited"):
+            names = sorted(self._engines)
+            limited = names[:LIMITED_ENGINES] if case == "limited" else names
+            for name in limited:
+                fleet.replicas[name].faults.limit = str(self._arguments.limit)
         if case in ("crashing", "all"):
             await self._send_crashing(fleet)
 
@@ -364,6 +371,8 @@
             "weights",
             "crashing",
             "unframed",
+            "limited",
+            "all_limited",
             "all",
         ),
     )
@@ -385,6 +394,12 @@
     )
     parser.add_argument("--routers", type=int, default=7)
     parser.add_argument("--engines", type=int, default=6)
+    parser.add_argument(
+        "--limit",
+        type=float,
+        default=1.6,
+        help="requests per second that engines name in the cases of limits",
+    )
     parser.add_argument("--memory", type=int, default=259_523)
     parser.add_argument(
         "--plot", help="file for a plot of waiting requests and credit"
--- a/bergamotmill/dispatch/allowances.py
+++ b/bergamotmill/dispatch/allowances.py
@@ -110,6 +110,14 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PendingClaim:
+    """A claim for which this router waits."""
+
+    owner: str
+    replies: asyncio.Queue[messages.Reply]
+
+
 class Allowances:
     """Claims allowance for this router's requests."""
 
@@ -141,7 +149,7 @@
         self._monotonic = clock.monotonic
         self._rng = rng
         self._ids = itertools.count(1)
-        self._replies: dict[int, asyncio.Queue[messages.Reply]] = {}
+        self._pending: dict[int, _PendingClaim] = {}
         self._delegations: dict[Target, _Delegation] = {}
         self._suspected_until: dict[str, float] = {}
         fleet.add_limit_listener(self._on_limit_changed)
@@ -331,13 +339,14 @@
 
     def on_reply(self, message: peer_pb2.AllowanceReply) -> None:
         """Passes a reply to the request that waits for it, if any."""
+        pending = self._pending.get(message.id)
+        if pending is None:
+            return
         limit = messages.decode_limit(message.limit, self._now())
         self._fleet.note_limit(
-            limit.upstream, limit.born, limit.statement, "owner"
+            limit.upstream, limit.born, limit.statement, pending.owner
         )
-        replies = self._replies.get(message.id)
-        if replies is not None:
-            replies.put_nowait(messages.decode_reply(message))
+        pending.replies.put_nowait(messages.decode_reply(message))
 
     def is_unlimited(self, upstream: upstreams.Upstream) -> bool:
         """Whether an upstream names no limit."""
@@ -410,7 +419,7 @@
     ) -> messages.Reply | None:
         """Returns an owner's final reply; None without one."""
         replies: asyncio.Queue[messages.Reply] = asyncio.Queue()
-        self._replies[claim.claim_id] = replies
+        self._pending[claim.claim_id] = _PendingClaim(owner, replies)
         missed = 0
         reply = None
         try:
@@ -425,7 +434,7 @@
                     reply = await _next_reply(replies, const.HELD_ASK_PERIOD_S)
             return None
         finally:
-            del self._replies[claim.claim_id]
+            del self._pending[claim.claim_id]
             if reply is None or (
                 reply.verdict is allowance_pool.Verdict.QUEUED
             ):
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -266,6 +266,7 @@
                     self._time_until_room_s(choice.best.wait_s),
                 )
             if verdict is waiting.Verdict.HOLD:
+                progress.limited_upstreams.clear()
                 continue
             allowance = await self._claim_allowance(progress, choice)
             if allowance is None:
@@ -282,6 +283,8 @@
                 await self._run_attempt(progress, sink, choice)
                 return None
             except errors.UpstreamError as err:
+                if not err.sent:
+                    self._allowances.give_back(allowance)
                 self._placer.note_failure(
                     choice,
                     refused=err.failure is errors.Failure.REFUSED,
@@ -295,6 +298,7 @@
                 if err.ran:
                     progress.trial_of = ""
                 if may_repeat:
+                    progress.limited_upstreams.clear()
                     continue
                 if await self._continue_at_standby(progress, sink, choice, err):
                     return None
@@ -307,9 +311,9 @@
     ) -> upstream_allowances.Allowance | None:
         """Claims allowance for an attempt, if its upstream named a limit.
 
-        It is waited for only where the wait is known, and thus part of the
-        choice. Upstreams whose limits allow the call too late are not tried
-        again.
+        It is not waited for while an upstream without a limit can serve the
+        call, which would be late there if the wait is in vain; and only where
+        the wait is known, and thus part of the choice.
 
         Returns:
             The allowance; None if there is none.
@@ -318,8 +322,11 @@
         upstream = choice.best.upstream
         if self._allowances.is_unlimited(upstream):
             return upstream_allowances.NO_LIMIT
-        outlook = self._outlook(call, choice)
-        max_wait_s = waiting.allowance_wait_limit_s(outlook)
+        has_unlimited_choice = self._has_unlimited_choice(choice)
+        max_wait_s = const.SHORT_CLAIM_WAIT_S
+        if not has_unlimited_choice:
+            outlook = self._outlook(call, choice)
+            max_wait_s = waiting.allowance_wait_limit_s(outlook)
         if self._exclude_late_upstreams(progress, choice, max_wait_s):
             return None
         is_wait_known = choice.best.allowance_wait_s > 0
@@ -332,15 +339,19 @@
                 call.priority,
                 _worth_of(call),
                 call.customer_name,
-                spread=self._has_unlimited_choice(choice),
+                spread=has_unlimited_choice,
             ),
         )
         records.log_allowance(progress, claimed)
         if claimed.granted:
             return claimed
-        self._placer.note_allowance(choice)
+        self._placer.note_allowance(choice, claimed.wait_s)
         progress.claims_refused += 1
-        if may_wait or progress.claims_refused >= const.MAX_CLAIMS_REFUSED:
+        if (
+            may_wait
+            or has_unlimited_choice
+            or progress.claims_refused >= const.MAX_CLAIMS_REFUSED
+        ):
             name = upstream.entry.name
             progress.limited_upstreams[name] = self._now() + claimed.wait_s
         return None
--- a/bergamotmill/dispatch/placement_client.py
+++ b/bergamotmill/dispatch/placement_client.py
@@ -372,11 +372,9 @@
                 ),
             )
 
-    def note_allowance(self, choice: placement.Choice) -> None:
+    def note_allowance(self, choice: placement.Choice, wait_s: float) -> None:
         """Reports when the limit of a chosen engine allows a request."""
-        upstream = choice.best.upstream
-        entry = upstream.entry
-        wait_s = upstream.allowance_wait_s(self._now())
+        entry = choice.best.upstream.entry
         if wait_s > 0:
             self._report(
                 choice,
--- a/bergamotmill/routing/allowance_pool.py
+++ b/bergamotmill/routing/allowance_pool.py
@@ -6,12 +6,14 @@
 pool spends only the shares that are delegated to it, so that the pools of
 routers that cannot reach each other never add up to more than the limit.
 
-Load pattern: more requests than allowed. They wait by priority, and within a
-priority by what their customer was granted lately, by worth, and by deadline.
-Those that cannot be granted in time are refused at once.
+Load pattern: more requests than allowed. Each priority is granted about the
+same fraction of its claims, so that none starves. Then those whose customer was
+granted least lately go first, and among these the more urgent ones, those of
+higher worth, and those of earlier deadline. Claims that cannot be granted in
+time are refused at once.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Hashable, Iterator, Mapping
 import dataclasses
 import enum
 import math
@@ -27,10 +29,12 @@
 MAX_WAITING = 256
 # Time for which a grant is remembered, in case its reply was lost.
 GRANT_MEMORY_S = 2.0
-# Time constant with which what a customer was granted is forgotten, and the
-# number of customers that are remembered.
-CUSTOMER_MEMORY_S = 10.0
-MAX_CUSTOMERS = 256
+# Time constant with which claims and grants are forgotten, and the number of
+# customers, or priorities, whose counts are kept.
+COUNT_MEMORY_S = 10.0
+MAX_COUNTS = 256
+# Differences between the granted fractions of priorities that are ignored.
+FRACTION_STEP = 0.05
 
 Key = tuple[str, int]
 
@@ -85,24 +89,24 @@
     wait_s: float
 
 
-class _CustomerGrants:
-    """How much each customer was granted lately."""
+class _RecentCounts:
+    """How often something happened lately, by key."""
 
     def __init__(self) -> None:
-        self._grants: dict[str, tuple[float, float]] = {}
+        self._counts: dict[Hashable, tuple[float, float]] = {}
 
-    def value(self, customer: str, now: float) -> float:
-        """Returns the grants of a customer, which fade with time."""
-        count, at = self._grants.get(customer, (0.0, now))
-        return count * math.exp(-max(0.0, now - at) / CUSTOMER_MEMORY_S)
+    def value(self, key: Hashable, now: float) -> float:
+        """Returns the count of a key, which fades with time."""
+        count, at = self._counts.get(key, (0.0, now))
+        return count * math.exp(-max(0.0, now - at) / COUNT_MEMORY_S)
 
-    def record(self, customer: str, now: float) -> None:
-        """Records a grant."""
-        count = self.value(customer, now) + 1.0
-        self._grants.pop(customer, None)
-        self._grants[customer] = (count, now)
-        if len(self._grants) > MAX_CUSTOMERS:
-            del self._grants[next(iter(self._grants))]
+    def record(self, key: Hashable, now: float) -> None:
+        """Adds one to the count of a key."""
+        count = self.value(key, now) + 1.0
+        self._counts.pop(key, None)
+        self._counts[key] = (count, now)
+        if len(self._counts) > MAX_COUNTS:
+            del self._counts[next(iter(self._counts))]
 
 
 class AllowancePool:
@@ -117,7 +121,9 @@
         self._delegated_until: dict[str, float] = {}
         self._waiting: dict[Key, Claim] = {}
         self._granted: dict[Key, float] = {}
-        self._customers = _CustomerGrants()
+        self._claims_by_priority = _RecentCounts()
+        self._grants_by_priority = _RecentCounts()
+        self._grants_by_customer = _RecentCounts()
 
     @property
     def waiting_count(self) -> int:
@@ -163,6 +169,8 @@
         if claim.key in self._granted:
             return self._grant_decision(claim.key, now)
         known = claim.key in self._waiting
+        if not known:
+            self._claims_by_priority.record(claim.priority, now)
         self._waiting[claim.key] = claim
         position = next(
             index
@@ -216,15 +224,22 @@
 
     def _in_order(self, now: float) -> list[Claim]:
         """Returns the waiting claims, those that go first at the front."""
+        fractions = {
+            claim.priority: self._granted_fraction(claim.priority, now)
+            for claim in self._waiting.values()
+        }
         granted = {
-            claim.customer: round(self._customers.value(claim.customer, now))
+            claim.customer: round(
+                self._grants_by_customer.value(claim.customer, now)
+            )
             for claim in self._waiting.values()
         }
         return sorted(
             self._waiting.values(),
             key=lambda claim: (
-                claim.priority,
+                fractions[claim.priority] // FRACTION_STEP,
                 granted[claim.customer],
+                claim.priority,
                 # Worth counts by its order of magnitude, so that among similar
                 # requests the deadline decides.
                 -math.frexp(claim.worth)[1],
@@ -232,11 +247,16 @@
             ),
         )
 
+    def _granted_fraction(self, priority: int, now: float) -> float:
+        claims = self._claims_by_priority.value(priority, now)
+        return self._grants_by_priority.value(priority, now) / max(1.0, claims)
+
     def _grant(self, claim: Claim, now: float) -> Decision:
         self._bucket.try_take(1.0, now)
         del self._waiting[claim.key]
         self._granted[claim.key] = now
-        self._customers.record(claim.customer, now)
+        self._grants_by_priority.record(claim.priority, now)
+        self._grants_by_customer.record(claim.customer, now)
         return self._grant_decision(claim.key, now)
 
     def _grant_decision(self, key: Key, now: float) -> Decision:
