--- a/bergamotmill/bench/process_soak/const.py
+++ b/bergamotmill/bench/process_soak/const.py
@@ -23,6 +23,13 @@
 MAX_REQUESTS_AFTER_CRASHES = 3
 # Fraction of the prompts that have a crashing part while such prompts are sent.
 CRASHING_FRACTION = 0.2
+# From FAULT_SETTLE_S after a replica has named a limit, each window may hold
+# this many times what it allows, and this many more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_ALLOWED_RATIO = 1.5
+LIMIT_ALLOWED_MORE = 5
+# A router that has forwarded an answer with a limit is bound by it after this.
+LIMIT_HEARD_S = 0.5
 RETRY_RATIO = 0.2
 RETRY_SLACK = 54.0
 RETRY_WINDOW_S = 10.0
--- a/bergamotmill/bench/process_soak/faults.py
+++ b/bergamotmill/bench/process_soak/faults.py
@@ -12,6 +12,7 @@
 
 from bergamotmill.bench.process_soak import const
 from bergamotmill.bench.process_soak import fleet as soak_fleet
+from bergamotmill.bench.process_soak import observations
 from bergamotmill.bench.process_soak import proxy
 from bergamotmill.standin.platform import store
 from bergamotmill.util import registry
@@ -20,7 +21,6 @@
 FAULTS: registry.Registry[Fault] = registry.Registry("fault")
 # Upper bound of the time that a router needs to start on a busy machine.
 ROUTER_START_S = 3.0
-ALL_ROUTERS = "all"
 
 
 def _random_router(
@@ -49,7 +49,9 @@
 @FAULTS.register("kill_all")
 async def kill_all(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
     """Kills all routers at once and restarts each after a random delay."""
-    fleet.observed.record_fault("kill", ALL_ROUTERS, ROUTER_START_S)
+    fleet.observed.record_fault(
+        "kill", observations.ALL_ROUTERS, ROUTER_START_S
+    )
     async with asyncio.TaskGroup() as group:
         for router in fleet.routers:
             group.create_task(_kill_and_restart(fleet, router, rng))
@@ -225,6 +227,29 @@
     setattr(faults, name, previous)
 
 
+@FAULTS.register("replica_limits")
+async def replica_limits(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
+    """Has one replica, or all engines, name a limit for a while."""
+    standins = [fleet.replicas[rng.choice(sorted(fleet.replicas))]]
+    if rng.random() < 0.3:
+        standins = [item for item in fleet.replicas.values() if item.model]
+    standins = [item for item in standins if not item.faults.limit]
+    seconds = rng.uniform(5.0, 9.0)
+    now = fleet.now()
+    for standin in standins:
+        limit_per_s = round(rng.uniform(0.4, 4.0), 2)
+        standin.faults.limit = str(limit_per_s)
+        fleet.observed.record_fault("replica", standin.name, seconds)
+        fleet.observed.limit_spans.append(
+            observations.LimitSpan(
+                standin.name, limit_per_s, now, now + seconds
+            )
+        )
+    await asyncio.sleep(seconds)
+    for standin in standins:
+        standin.faults.limit = ""
+
+
 @FAULTS.register("replica_lost")
 async def replica_lost(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
     """Crashes a replica and starts another one in its place."""
--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -192,6 +192,9 @@
             Router(index, self._router_settings(index, routers), folder)
             for index in range(routers)
         ]
+        self.observed.router_names = {
+            router.address("front"): router.name for router in self.routers
+        }
 
     def _router_settings(self, index: int, routers: int) -> dict[str, Any]:
         host = self.subnet.host(_ROUTERS, index)
--- a/bergamotmill/bench/process_soak/observations.py
+++ b/bergamotmill/bench/process_soak/observations.py
@@ -4,6 +4,9 @@
 import dataclasses
 import time
 
+# Target of faults that concern all routers.
+ALL_ROUTERS = "all"
+
 
 @dataclasses.dataclass
 class Request:
@@ -73,6 +76,16 @@
     ended: float
 
 
+@dataclasses.dataclass(frozen=True)
+class LimitSpan:
+    """A time in which a replica names the requests a second that it takes."""
+
+    replica: str
+    per_s: float
+    began: float
+    ended: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Order:
     """An order that a replica accepted.
@@ -101,6 +114,9 @@
         # Times at which replicas crashed, by the part that crashed them.
         self.crashes: dict[str, list[float]] = {}
         self.orders: list[Order] = []
+        self.limit_spans: list[LimitSpan] = []
+        # The name of each router by the address on which it takes requests.
+        self.router_names: dict[str, str] = {}
         # By replica, the time at which it began to leave, and at which it
         # crashed.
         self.leaving_since: dict[str, float] = {}
@@ -123,6 +139,27 @@
         now = time.monotonic()
         self.fault_spans.append(FaultSpan(kind, target, now, now + seconds))
 
+    def disturbed(
+        self, router: str, replica: str, since: float, until: float
+    ) -> bool:
+        """Whether a fault of a router, or on its way to a replica, overlaps.
+
+        Args:
+            router: the router.
+            replica: the replica that it sends requests to.
+            since: start of the time span.
+            until: end of the time span.
+        """
+        return any(
+            item.began <= until
+            and item.ended >= since
+            and (
+                item.target in (router, ALL_ROUTERS)
+                or item.target.startswith(f"{replica} ")
+            )
+            for item in self.fault_spans
+        )
+
     def fault_free(
         self, since: float, until: float, ignored_kinds: tuple[str, ...] = ()
     ) -> bool:
--- a/bergamotmill/bench/process_soak/promises.py
+++ b/bergamotmill/bench/process_soak/promises.py
@@ -226,6 +226,69 @@
     return violations
 
 
+@PROMISES.register("replicas that name a limit get no more than it allows")
+def _stated_limits(observed: observations.Observations) -> list[str]:
+    violations = []
+    routers = {
+        item.request_id: observed.router_names.get(item.router, item.router)
+        for item in observed.requests
+    }
+    for span in observed.limit_spans:
+        arrivals = sorted(
+            (item.at, routers.get(item.request_id, ""))
+            for item in observed.arrivals
+            if item.replica == span.replica
+            and span.began <= item.at <= span.ended
+        )
+        allowed = (
+            const.LIMIT_ALLOWED_RATIO * const.LIMIT_WINDOW_S * span.per_s
+            + const.LIMIT_ALLOWED_MORE
+        )
+        most = _most_in_window(observed, span, arrivals)
+        if most > allowed:
+            violations.append(
+                f"{span.replica} got {most} requests in "
+                f"{const.LIMIT_WINDOW_S:.0f} s, {allowed:.0f} were allowed"
+            )
+    return violations
+
+
+def _most_in_window(
+    observed: observations.Observations,
+    span: observations.LimitSpan,
+    arrivals: list[tuple[float, str]],
+) -> int:
+    """Returns the most requests that a limited replica got in a window.
+
+    Only requests of routers count that had forwarded an answer with the limit,
+    and that no fault disturbed meanwhile.
+    """
+    heard_at: dict[str, float] = {}
+    for at, router in arrivals:
+        heard_at.setdefault(
+            router, at + const.LIMIT_HEARD_S + const.TIMING_TOLERANCE_S
+        )
+    most = 0
+    for end, _ in arrivals:
+        start = end - const.LIMIT_WINDOW_S
+        if end <= span.began + const.FAULT_SETTLE_S:
+            continue
+        disturbed = {
+            router
+            for router in heard_at
+            if observed.disturbed(
+                router, span.replica, start - const.FAULT_SETTLE_S, end
+            )
+        }
+        count = sum(
+            start < at <= end and at > heard_at[router]
+            for at, router in arrivals
+            if router not in disturbed
+        )
+        most = max(most, count)
+    return most
+
+
 @PROMISES.register("a final answer comes no later than the route allows")
 def _answer_in_time(observed: observations.Observations) -> list[str]:
     return [
--- a/tests/bench/test_process_soak.py
+++ b/tests/bench/test_process_soak.py
@@ -182,6 +182,26 @@
         ]
         self.assert_no_violations()
 
+    def test_replica_gets_more_requests_than_its_limit_allows(self):
+        self.observed.limit_spans = [
+            observations.LimitSpan("e1", 1.5, 100.0, 108.0)
+        ]
+
+        def arrive(count):
+            self.observed.arrivals = [
+                arrival(f"r{index}", "e1", 100.1 + 7.5 * index / count)
+                for index in range(count)
+            ]
+            self.observed.requests = [
+                request(item.request_id) for item in self.observed.arrivals
+            ]
+
+        # 14 in four seconds are allowed.
+        arrive(24)
+        self.assert_no_violations()
+        arrive(40)
+        self.assert_violated("no more than it allows")
+
     def test_answer_after_route_timeout(self):
         self.observed.requests = [request(ended=103.0)]
         self.assert_violated("a final answer comes")
