--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -59,6 +59,8 @@
 # Time after a termination signal during which callers may still connect to
 # an address that they got from the directory before.
 DIRECTORY_LINGER_S = 5.0
+# Limits of upstreams that the metrics page lists at most.
+MAX_LIMITS_LISTED = 64
 # The process exits this long before the end of the grace period.
 EXIT_MARGIN_S = 0.5
 
@@ -395,6 +397,7 @@
     def _gauges(self) -> dict[str, float]:
         """Returns the gauges of the metrics page."""
         now = self._clock.monotonic()
+        limits = self._allowances.limits
         gauges = {
             "configuration_version": float(self.fleet.catalog.version),
             "documents_age_seconds": self.feed.staleness_s(),
@@ -406,7 +409,7 @@
             "response_bytes_buffered": float(self.dispatcher.buffered_bytes),
             "asks_waiting": float(self._placement_owner.waiting_count),
             "prompt_parts_quarantined": float(self.quarantine.entry_count),
-            "upstreams_limited": float(len(self._allowances.limits)),
+            "upstreams_limited": float(len(limits)),
             "allowance_claims_waiting": float(
                 self._allowance_owner.waiting_count
             ),
@@ -415,6 +418,8 @@
         }
         for service, scale in self.fleet.upstreams.prefill_scales.items():
             gauges[f"prefill_scale_{service.replace('-', '_')}"] = scale
+        for name in sorted(limits)[:MAX_LIMITS_LISTED]:
+            gauges[f"upstream_limit.{name}"] = limits[name]
         if self._budgets:
             remaining = [item.remaining(now) for item in self._budgets.values()]
             gauges["retry_budget_left"] = min(remaining)
--- a/bergamotmill/helpers/metrics_page.py
+++ b/bergamotmill/helpers/metrics_page.py
@@ -43,9 +43,24 @@
         """Yields all metric families."""
         yield from self._collect_counters()
         yield from self._collect_latencies()
+        yield from self._collect_gauges()
+
+    def _collect_gauges(self) -> Iterator[prometheus.Metric]:
+        """Yields the gauges; those with a kind have it as a label."""
+        families: dict[str, prometheus.GaugeMetricFamily] = {}
         for name, value in self._read_gauges().items():
-            metric, _ = _split_name(name)
-            yield prometheus.GaugeMetricFamily(metric, name, value=value)
+            metric, kind = _split_name(name)
+            if not kind:
+                yield prometheus.GaugeMetricFamily(metric, name, value=value)
+                continue
+            family = families.get(metric)
+            if family is None:
+                family = prometheus.GaugeMetricFamily(
+                    metric, metric, labels=[LABEL]
+                )
+                families[metric] = family
+            family.add_metric([kind], value)
+        yield from families.values()
 
     def _collect_counters(self) -> Iterator[prometheus.Metric]:
         families: dict[str, prometheus.CounterMetricFamily] = {}
--- a/tests/dispatch/test_stated_limits.py
+++ b/tests/dispatch/test_stated_limits.py
@@ -145,6 +145,10 @@
             results = await self.play_limited({"s1": 1.6})
             self.assert_limit_held("s1", 1.6)
             self.assertGreater(self.served(results, "lookup"), 0.98)
+            for router in self.fleet.routers.values():
+                gauges = router._gauges()
+                self.assertEqual(gauges["upstreams_limited"], 1.0)
+                self.assertEqual(gauges["upstream_limit.s1"], 1.6)
 
         self.run_play(scenario)
 
--- a/tests/helpers/test_metrics_page.py
+++ b/tests/helpers/test_metrics_page.py
@@ -24,6 +24,14 @@
         self.gauges["routers_alive"] = 6.0
         self.assertIn("bergamotmill_routers_alive 6.0", self.lines())
 
+    def test_gauges_with_a_kind_have_a_label(self):
+        self.gauges["upstream_limit.e0"] = 1.5
+        self.gauges["upstream_limit.e1"] = 2.0
+        lines = self.lines()
+        name = "bergamotmill_upstream_limit"
+        self.assertIn(f'{name}{{kind="e0"}} 1.5', lines)
+        self.assertIn(f'{name}{{kind="e1"}} 2.0', lines)
+
     def test_histograms_are_cumulative(self):
         for seconds in (0.001, 0.04, 0.04, 99.0):
             self.metrics.timing("first_byte.review", seconds)
