Engines under a limit: status reports are read each second while weights load

Cause: with a limit of 0.4 a second, reports every 0.6 s alone add up to more than one and a half times what the limit allows, and whether they count is open. Change: one report a second; a test counts reports and orders, too.

--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -171,7 +171,7 @@
 CLAIMS_PER_ALLOWANCE = 8.0
 MAX_CLAIM_SPREAD_S = 10.0
 # Reports of the state of an engine that has named a limit are read this often.
-LIMITED_STATUS_PERIOD_S = 0.6
+LIMITED_STATUS_PERIOD_S = 1.0
 
 # Lease of a router's registration; a term has room for three renewals.
 REGISTRATION_LEASE_S = 4.0
--- a/tests/dispatch/test_stated_limits.py
+++ b/tests/dispatch/test_stated_limits.py
@@ -4,6 +4,8 @@
 import random
 import unittest
 
+from bergamotmill.platform import const
+from bergamotmill.standin.platform import fleet
 from bergamotmill.standin.platform import store
 from tests import platform_case
 
@@ -166,6 +168,33 @@
 
         self.run_play(scenario)
 
+    def test_weights_are_loaded_within_the_limit(self):
+        async def scenario():
+            limits = {"e0": 1.0, "e1": 1.5}
+
+            async def name_weights():
+                await asyncio.sleep(CALM_S + CONTACT_S)
+                await self.fleet.store.write(
+                    const.PREFIX_WEIGHTS + fleet.MODEL,
+                    {"model": fleet.MODEL, "version": 2},
+                )
+
+            await asyncio.gather(
+                name_weights(), self.play_limited(limits, per_s=25.0)
+            )
+            for name, limit in limits.items():
+                replica = self.fleet.replicas[name]
+                self.assertEqual(replica.weights, 2)
+                # Status reports and orders included.
+                since = self.named_at + CONTACT_S
+                times = [at for at in replica.received_at if at > since - 2.0]
+                self.assertLessEqual(
+                    worst_window(times, since),
+                    ALLOWED_RATIO * WINDOW_S * limit + ALLOWED_MORE,
+                )
+
+        self.run_play(scenario, engines=4)
+
     def test_no_kind_of_request_starves_if_all_engines_name_limits(self):
         async def scenario():
             limits = {f"e{index}": 1.6 for index in range(ENGINES)}
