Limits of upstreams: waits in time, and nobody waits in vain

Change: allowance is waited for unless an upstream without a limit can serve the request in time. A claim that waits is overtaken only while it can still be granted in time, or by a priority of which less than 0.9 times the usual fraction is granted, or a customer with four grants less.

--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -312,8 +312,8 @@
         """Claims allowance for an attempt, if its upstream named a limit.
 
         It is not waited for while an upstream without a limit can serve the
-        call, which would be late there if the wait is in vain; and only where
-        the wait is known, and thus part of the choice.
+        call in time, which would be late there if the wait is in vain; and
+        only where the wait is known, and thus part of the choice.
 
         Returns:
             The allowance; None if there is none.
@@ -322,10 +322,10 @@
         upstream = choice.best.upstream
         if self._allowances.is_unlimited(upstream):
             return upstream_allowances.NO_LIMIT
-        has_unlimited_choice = self._has_unlimited_choice(choice)
+        outlook = self._outlook(call, choice)
+        has_unlimited_choice = self._has_unlimited_choice(choice, outlook)
         max_wait_s = const.SHORT_CLAIM_WAIT_S
         if not has_unlimited_choice:
-            outlook = self._outlook(call, choice)
             max_wait_s = waiting.allowance_wait_limit_s(outlook)
         if self._exclude_late_upstreams(progress, choice, max_wait_s):
             return None
@@ -377,13 +377,16 @@
         name = choice.best.upstream.entry.name
         return name in progress.limited_upstreams
 
-    def _has_unlimited_choice(self, choice: placement.Choice) -> bool:
-        """Whether an upstream that names no limit could serve the call."""
+    def _has_unlimited_choice(
+        self, choice: placement.Choice, outlook: waiting.Outlook
+    ) -> bool:
+        """Whether an upstream that names no limit can serve a call in time."""
         if choice.candidate_count > len(choice.ranked):
             # The placement owner knows more candidates.
             return True
         return any(
             self._allowances.is_unlimited(item.upstream)
+            and waiting.is_on_time(item.first_byte_s, outlook.target_s)
             for item in choice.ranked
         )
 
--- a/bergamotmill/dispatch/waiting.py
+++ b/bergamotmill/dispatch/waiting.py
@@ -65,6 +65,11 @@
     time_limit_s: float
 
 
+def is_on_time(first_byte_s: float, target_s: float) -> bool:
+    """Whether a first byte predicted after a time counts as in time."""
+    return first_byte_s <= ON_TIME_FRACTION * target_s
+
+
 def admission_verdict(outlook: Outlook, is_known: bool = False) -> Verdict:
     """Decides on a request that has not been sent to any engine.
 
@@ -74,7 +79,7 @@
             and not from assumptions about what other routers send.
     """
     first_byte_s = outlook.wait_s + outlook.prefill_s
-    if first_byte_s <= ON_TIME_FRACTION * outlook.target_s:
+    if is_on_time(first_byte_s, outlook.target_s):
         return Verdict.GO
     max_wait_s = MAX_LATE_WAIT_S
     if outlook.prefill_s > ON_TIME_FRACTION * outlook.target_s:
--- a/bergamotmill/routing/allowance_pool.py
+++ b/bergamotmill/routing/allowance_pool.py
@@ -10,7 +10,9 @@
 same fraction of its claims, so that none starves. Then those whose customer was
 granted least lately go first, and among these the more urgent ones, those of
 higher worth, and those of earlier deadline. Claims that cannot be granted in
-time are refused at once.
+time are refused at once. One that waits is overtaken only as long as it can
+still be granted in time, unless the other's priority or customer was granted
+far less: a request that has waited in vain is late elsewhere as well.
 """
 
 from collections.abc import Hashable, Iterator, Mapping
@@ -33,8 +35,14 @@
 # customers, or priorities, whose counts are kept.
 COUNT_MEMORY_S = 10.0
 MAX_COUNTS = 256
-# Differences between the granted fractions of priorities that are ignored.
-FRACTION_STEP = 0.05
+# A priority of which a smaller fraction of claims is granted than this,
+# relative to all claims, may make others wait in vain. So may a customer that
+# was granted some requests less lately.
+UNFAIR_RATIO = 0.9
+UNFAIR_GRANTS_STEP = 4
+
+# Key of the counts over all priorities.
+_ALL = "all"
 
 Key = tuple[str, int]
 
@@ -120,6 +128,8 @@
         self._limit_per_s = 0.0
         self._delegated_until: dict[str, float] = {}
         self._waiting: dict[Key, Claim] = {}
+        # Claims that do not overtake others of their rank.
+        self._yielding: set[Key] = set()
         self._granted: dict[Key, float] = {}
         self._claims_by_priority = _RecentCounts()
         self._grants_by_priority = _RecentCounts()
@@ -171,26 +181,28 @@
         known = claim.key in self._waiting
         if not known:
             self._claims_by_priority.record(claim.priority, now)
+            self._claims_by_priority.record(_ALL, now)
         self._waiting[claim.key] = claim
-        position = next(
-            index
-            for index, other in enumerate(self._in_order(now))
-            if other.key == claim.key
-        )
+        if not known and self._makes_late(claim, now):
+            self._yielding.add(claim.key)
+        position = self._in_order(now).index(claim)
         wait_s = self._bucket.seconds_until(position + 1.0, now)
         if position == 0 and wait_s <= 0:
             return self._grant(claim, now)
         has_room = known or len(self._waiting) <= MAX_WAITING
         if has_room and now + wait_s <= claim.wait_until:
             return Decision(claim.key, Verdict.QUEUED, wait_s)
-        del self._waiting[claim.key]
+        self._forget(claim.key)
         return Decision(claim.key, Verdict.REFUSED, wait_s)
 
+    def _forget(self, key: Key) -> bool:
+        """Forgets a waiting claim; False if there is none."""
+        self._yielding.discard(key)
+        return self._waiting.pop(key, None) is not None
+
     def withdraw(self, key: Key) -> None:
         """Forgets a claim; allowance that it was granted returns."""
-        if self._waiting.pop(key, None) is None and (
-            self._granted.pop(key, None) is not None
-        ):
+        if not self._forget(key) and self._granted.pop(key, None) is not None:
             self._bucket.refund(1.0)
 
     def take(self, now: float) -> bool:
@@ -205,7 +217,7 @@
             if position == 0 and wait_s <= 0:
                 yield self._grant(claim, now)
             elif now + wait_s > claim.wait_until:
-                del self._waiting[claim.key]
+                self._forget(claim.key)
                 yield Decision(claim.key, Verdict.REFUSED, wait_s)
             else:
                 position += 1
@@ -213,7 +225,7 @@
     def grant_all(self) -> Iterator[Decision]:
         """Yields grants for all claims, as the limit has ended."""
         for key in list(self._waiting):
-            del self._waiting[key]
+            self._forget(key)
             yield Decision(key, Verdict.GRANTED, 0.0)
 
     def next_due_s(self, now: float) -> float:
@@ -224,38 +236,65 @@
 
     def _in_order(self, now: float) -> list[Claim]:
         """Returns the waiting claims, those that go first at the front."""
-        fractions = {
-            claim.priority: self._granted_fraction(claim.priority, now)
-            for claim in self._waiting.values()
-        }
-        granted = {
-            claim.customer: round(
-                self._grants_by_customer.value(claim.customer, now)
-            )
+        ranks = {
+            claim.key: self._rank(claim, now)
             for claim in self._waiting.values()
         }
         return sorted(
             self._waiting.values(),
             key=lambda claim: (
-                fractions[claim.priority] // FRACTION_STEP,
-                granted[claim.customer],
-                claim.priority,
-                # Worth counts by its order of magnitude, so that among similar
-                # requests the deadline decides.
-                -math.frexp(claim.worth)[1],
-                claim.deadline,
+                *ranks[claim.key],
+                claim.key in self._yielding,
+                *self._preference(claim, now),
             ),
         )
 
-    def _granted_fraction(self, priority: int, now: float) -> float:
-        claims = self._claims_by_priority.value(priority, now)
-        return self._grants_by_priority.value(priority, now) / max(1.0, claims)
+    def _rank(self, claim: Claim, now: float) -> tuple[float, float]:
+        """Returns what decides even if others wait in vain; least first."""
+        ratio = self._granted_ratio(claim.priority, now)
+        grants = self._grants_by_customer.value(claim.customer, now)
+        return (ratio >= UNFAIR_RATIO, grants // UNFAIR_GRANTS_STEP)
+
+    def _preference(self, claim: Claim, now: float) -> tuple[float, ...]:
+        """Returns what decides among claims of one rank; least first."""
+        return (
+            round(self._granted_ratio(claim.priority, now), 1),
+            round(self._grants_by_customer.value(claim.customer, now)),
+            claim.priority,
+            # Worth counts by its order of magnitude, so that among similar
+            # requests the deadline decides.
+            -math.frexp(claim.worth)[1],
+            claim.deadline,
+        )
+
+    def _makes_late(self, claim: Claim, now: float) -> bool:
+        """Whether a new claim makes others of its rank wait in vain."""
+        rank = self._rank(claim, now)
+        order = self._in_order(now)
+        first_behind = order.index(claim) + 1
+        return any(
+            now + self._bucket.seconds_until(index + 1.0, now)
+            > other.wait_until
+            for index, other in enumerate(order[first_behind:], first_behind)
+            if self._rank(other, now) == rank
+        )
+
+    def _granted_ratio(self, priority: int, now: float) -> float:
+        """Returns a priority's granted fraction, relative to all claims."""
+        grants = self._grants_by_priority.value(_ALL, now)
+        claims = self._claims_by_priority.value(_ALL, now)
+        own_grants = self._grants_by_priority.value(priority, now)
+        own_claims = self._claims_by_priority.value(priority, now)
+        if grants < 1.0 or own_claims < 1.0:
+            return 1.0
+        return (own_grants / own_claims) / (grants / claims)
 
     def _grant(self, claim: Claim, now: float) -> Decision:
         self._bucket.try_take(1.0, now)
-        del self._waiting[claim.key]
+        self._forget(claim.key)
         self._granted[claim.key] = now
         self._grants_by_priority.record(claim.priority, now)
+        self._grants_by_priority.record(_ALL, now)
         self._grants_by_customer.record(claim.customer, now)
         return self._grant_decision(claim.key, now)
 
