Limits of upstreams: a report of one heard long ago is ignored

Cause, found in review: an owner forgets an ended limit after 30 s, and would take up the one of a router that was suspended for longer. Change: statements heard more than 30 s ago are ignored; a limit in force is heard every few seconds. Result: the test failed without the change by construction (the statement is applied), and passes.

--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -265,6 +265,11 @@
         source: str,
     ) -> None:
         """Records the limit that an upstream names, as it or a peer says."""
+        age_s = self._clock.boottime() - statement.heard_at
+        if age_s > const.ENDED_LIMIT_MEMORY_S:
+            # Its end may have been forgotten here. A limit in force is heard
+            # every few seconds.
+            return
         before = self.limits.per_s(name, born)
         if not self.limits.apply(name, born, statement):
             return
--- a/tests/dispatch/test_stated_limits.py
+++ b/tests/dispatch/test_stated_limits.py
@@ -5,6 +5,7 @@
 import unittest
 
 from bergamotmill.platform import const
+from bergamotmill.routing import stated_limit
 from bergamotmill.standin.platform import fleet
 from bergamotmill.standin.platform import store
 from tests import platform_case
@@ -292,6 +293,17 @@
 
         self.run_play(scenario, engines=4)
 
+    def test_peer_that_was_suspended_does_not_revive_a_limit(self):
+        async def scenario():
+            router = self.fleet.routers[0]
+            now = self.now()
+            for age_s, limited in ((60.0, {}), (1.0, {"e0": 1})):
+                statement = stated_limit.Statement(1.5, now - 60, now - age_s)
+                router.fleet.note_limit("e0", 1, statement, "vm-1")
+                self.assertEqual(router.fleet.limits.limited(), limited)
+
+        self.run_play(scenario, engines=1)
+
     def test_limit_outlives_a_missing_entry(self):
         async def scenario():
             await self.play_limited({"s0": 1.0}, seconds=4.0, per_s=5.0)
