--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -621,9 +621,7 @@
     async def _note_loss(
         self, progress: call_progress.Progress, upstream: upstreams.Upstream
     ) -> None:
-        """Records what a lost connection says of the call's prompt."""
-        if progress.prompt is None:
-            return
+        """Records what a lost connection says of the call."""
         known = self._fleet.upstreams
         entry = upstream.entry
         if known.by_name.get(entry.name) is not upstream or (
@@ -632,10 +630,37 @@
             # It was about to end anyway: some upstreams leave without a word
             # after their entry is removed.
             return
+        parts: list[str] = []
+        if progress.prompt is None:
+            ended = await self._attempt_runner.has_ended(upstream)
+        else:
+            parts = sorted(progress.prompt.parts)
+            ended = await self._note_prompt_loss(progress, upstream)
+        if not ended:
+            return
+        self._metrics.count("upstream.ended")
+        decisions.record(
+            "upstream_ended",
+            request=progress.call.request_id,
+            upstream=entry.name,
+            born=entry.born,
+            fingerprint=progress.fingerprint,
+            parts=parts,
+        )
+
+    async def _note_prompt_loss(
+        self, progress: call_progress.Progress, upstream: upstreams.Upstream
+    ) -> bool:
+        """Records what a lost connection says of the call's prompt.
+
+        Returns:
+            Whether the upstream ended before it answered.
+        """
         answered_s = None
         if progress.answer_began_at is not None:
             answered_s = self._now() - progress.answer_began_at
-        ended = await self._prompts.note_loss(
+        entry = upstream.entry
+        return await self._prompts.note_loss(
             progress.prompt,
             quarantine.LostAttempt(
                 prompt_quarantine.Crash(entry.name, entry.born),
@@ -643,16 +668,6 @@
                 lambda: self._attempt_runner.has_ended(upstream),
             ),
         )
-        if not ended:
-            return
-        self._metrics.count("upstream.ended")
-        decisions.record(
-            "upstream_ended",
-            request=progress.call.request_id,
-            upstream=entry.name,
-            born=entry.born,
-            parts=sorted(progress.prompt.parts),
-        )
 
     def _record_failure(
         self,
@@ -681,6 +696,7 @@
             sent=err.sent,
             ran=err.ran,
             began=progress.answer_began_at is not None,
+            fingerprint=progress.fingerprint,
         )
         route = progress.call.route
         if not err.ran:
--- a/bergamotmill/dispatch/progress.py
+++ b/bergamotmill/dispatch/progress.py
@@ -7,6 +7,7 @@
 from bergamotmill.dispatch import standby
 from bergamotmill.helpers import run_state
 from bergamotmill.routing import prompt_quarantine
+from bergamotmill.routing import request_fingerprint
 
 
 class Progress:
@@ -34,6 +35,8 @@
         standby: engine that keeps a copy of the run's KV memory.
         prompt: parts of the prompt that other requests may have, too; None for
             other requests than generations.
+        fingerprint: name that all requests with the same route, path, customer
+            and body share.
         withdrawn: set to give up the present attempt; None if it cannot be.
         trial_of: key of the quarantine entry in spite of which the present
             attempt is made; empty for none.
@@ -61,6 +64,10 @@
                 call.generation.shared_parts,
                 call.customer_name,
             )
+        self.fingerprint = request_fingerprint.fingerprint(
+            (call.route.name, call.method, call.target, call.customer_name),
+            call.body,
+        )
         self.withdrawn: asyncio.Future[None] | None = None
         self.trial_of = ""
 
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -33,6 +33,7 @@
         continued: whether it continues from a copy of the KV cache.
         parts: names of the parts of its prompt.
         answered: whether the first bytes of its answer were sent.
+        body: its body.
         unframed: whether its answer has neither a length nor chunks.
     """
 
@@ -46,6 +47,7 @@
     continued: bool = False
     parts: tuple[str, ...] = ()
     answered: bool = False
+    body: bytes = b""
     unframed: bool = False
 
 
@@ -53,8 +55,8 @@
 class Faults:
     """Faults that a test can switch on.
 
-    Only `mute`, `cut_after`, `order_delay_s`, `crash_parts` and `unframed`
-    affect engines; `unframed` affects plain services, too.
+    Only `mute`, `cut_after`, `order_delay_s`, `crash_parts`, `crash_mark` and
+    `unframed` affect engines; the last two affect plain services, too.
 
     Attributes:
         lose_answers: whether requests run but their connection is cut.
@@ -77,6 +79,12 @@
             disconnects: a key of `ENDLESS_PARTS`; empty for none.
         crash_parts: parts of prompts on which an engine crashes when it begins
             to write the answer, unless it is the last part.
+        crash_mark: a request whose body contains it crashes the replica; empty
+            for none.
+        crash_after_s: time from the start of such a request to the crash, in
+            seconds, at plain services.
+        crash_after_events: number of events that an engine sends before such a
+            request crashes it.
         unframed: whether answers have neither a length nor chunks and end with
             their connection.
         end_after_head: whether unframed answers end after their head.
@@ -99,6 +107,9 @@
     limit: str = ""
     endless: str = ""
     crash_parts: frozenset[str] = frozenset()
+    crash_mark: bytes = b""
+    crash_after_s: float = 0.04
+    crash_after_events: int = 0
     unframed: bool = False
     end_after_head: bool = False
     reset_before_answer: bool = False
@@ -170,7 +181,7 @@
         engine: model of compute time and KV memory.
         kv_copies: ids of requests whose KV cache was copied here.
         endless_bytes_sent: bytes sent of answers that never end.
-        on_crash: called when a prompt crashes the replica.
+        on_crash: called when a request crashes the replica.
     """
 
     def __init__(
@@ -353,6 +364,7 @@
                 self._refuse(exchange)
                 return
             run.continued = True
+        run.body = exchange.request.body
         self.runs.append(run)
         backup = self._replica_at(headers.get(const.HEADER_KV_STANDBY, ""))
         if backup is not None:
@@ -379,6 +391,10 @@
         return response_headers
 
     async def _run_plain(self, exchange, run: Run) -> None:
+        if self._crashes_under(run):
+            await asyncio.sleep(self.faults.crash_after_s)
+            self._crash(run)
+            return
         await asyncio.sleep(self._work_s)
         if self.faults.mute:
             await self._stay_silent(exchange)
@@ -404,6 +420,14 @@
         if self.faults.extra_after_s >= 0:
             self._send_extra_answer(exchange, run)
 
+    def _crashes_under(self, run: Run) -> bool:
+        mark = self.faults.crash_mark
+        return bool(mark) and mark in run.body
+
+    def _crash(self, run: Run) -> None:
+        run.outcome = "crashed"
+        self.on_crash(self)
+
     def _send_extra_answer(self, exchange, run: Run) -> None:
         """Sends an answer that belongs to no request."""
         request_id = run.request_id if self.faults.extra_has_id else ""
@@ -469,8 +493,7 @@
                 run.outcome = "lost"
                 exchange.abort()
             elif self.faults.crash_parts.intersection(run.parts[:-1]):
-                run.outcome = "crashed"
-                self.on_crash(self)
+                self._crash(run)
             else:
                 await self._write_events(exchange, run, work, output)
         finally:
@@ -480,6 +503,12 @@
         self, exchange, run: Run, work, output: int
     ) -> None:
         """Writes one event for every `tokens_per_event` tokens generated."""
+        crash_after = float("inf")
+        if self._crashes_under(run):
+            crash_after = self.faults.crash_after_events
+        if not crash_after:
+            self._crash(run)
+            return
         self._start(exchange, run)
         if self.faults.end_after_head:
             run.outcome = "cut"
@@ -502,6 +531,10 @@
                 await asyncio.sleep(0)
                 exchange.abort()
                 return
+            events_sent = number - 1 - run.resumed_after
+            if events_sent >= crash_after:
+                self._crash(run)
+                return
             self._write(exchange, run, EVENT_FORMAT % (number, number))
             await exchange.drain()
             is_first, run.answered = not run.answered, True
