--- /dev/null
+++ b/tests/dispatch/test_crashing_requests.py
@@ -0,0 +1,205 @@
+"""Requests that crash each replica that runs them, and come again."""
+
+import asyncio
+import random
+import unittest
+
+from bergamotmill.standin.platform import fleet
+from bergamotmill.standin.platform import store
+from tests import platform_case
+
+CRASH_MARK = b"crash:"
+# The platform's limit: from this time after the third crash under a request, it
+# may reach replicas at most three more times.
+CONTACT_S = 3.0
+CRASHES_UNTIL_LIMIT = 3
+MAX_ARRIVALS_AFTER = 3
+# Sound requests of the same routes are served nearly as often as before.
+MIN_SERVED_RATIO = 0.9
+SOUND_PER_S = 25.0
+CRASHING_PER_S = 2.5
+CALM_S = 5.0
+PLAY_S = 20.0
+PROMPT_ROUTES = ("check", "review")
+
+
+class CrashingRequestLoad(platform_case.PlatformCase):
+    """A load of sound requests, beside requests that crash replicas.
+
+    Attributes:
+        routes: routes of the sound requests.
+        crashing_route: route of the requests that crash replicas.
+        crashing_count: number of different requests that do.
+    """
+
+    routes = ("lookup", "filing")
+    crashing_route = "lookup"
+    crashing_count = 1
+    keys = ("key-one", "key-two")
+
+    def set_crashing(self, mark=CRASH_MARK, **faults):
+        for standin in [*self.fleet.replicas.values(), *self.fleet.crashed]:
+            standin.faults.crash_mark = mark
+            for name, value in faults.items():
+                setattr(standin.faults, name, value)
+
+    async def send(self, route, body, rng, key="key-one", own=None):
+        if not self.fleet.routers:
+            return fleet.Answer(0)
+        fields = {}
+        if route in PROMPT_ROUTES:
+            own = rng.random() if own is None else own
+            shared = f"sys:512,file{rng.randrange(12)}:400"
+            if body.startswith(CRASH_MARK):
+                shared = "sys:512,file1:400"
+            output = 60 if route == "review" else 5
+            fields = {"parts": f"{shared},{own}:300", "output": output}
+        router = rng.choice(sorted(self.fleet.routers))
+        return await self.fleet.call(
+            route, router=router, key=key, body=body, **fields
+        )
+
+    async def send_sound(self, results, rng):
+        began = self.now()
+        body = b"sound:%d" % rng.getrandbits(60)
+        route, key = rng.choice(self.routes), rng.choice(self.keys)
+        results.append((began, await self.send(route, body, rng, key)))
+
+    def crashing_body(self, rng):
+        return CRASH_MARK + b"%d" % rng.randrange(self.crashing_count)
+
+    async def send_crashing(self, results, rng):
+        began = self.now()
+        body = self.crashing_body(rng)
+        answer = await self.send(self.crashing_route, body, rng, own="own")
+        results.append((began, answer))
+
+    async def play(self, seconds, rate_per_s, send, rng):
+        """Sends requests at random times; returns their times and answers."""
+        results = []
+        end = self.now() + seconds
+        async with asyncio.TaskGroup() as group:
+            while self.now() < end:
+                await asyncio.sleep(rng.expovariate(rate_per_s))
+                group.create_task(send(results, rng))
+        return results
+
+    def late_arrivals(self, until=float("inf")):
+        """Returns how often each crashing request arrived beyond the limit."""
+        runs = {}
+        for run in self.fleet.runs():
+            if CRASH_MARK in run.body:
+                runs.setdefault(run.body, []).append(run)
+        late = {}
+        for body, found in runs.items():
+            ends = sorted(
+                run.began for run in found if run.outcome == "crashed"
+            )
+            if len(ends) >= CRASHES_UNTIL_LIMIT:
+                limit_at = ends[CRASHES_UNTIL_LIMIT - 1] + CONTACT_S
+                late[body] = sum(limit_at < r.began < until for r in found)
+        return late
+
+    def assert_few_reach_replicas(self):
+        for body, count in self.late_arrivals().items():
+            self.assertLessEqual(count, MAX_ARRIVALS_AFTER, body)
+
+    def assert_sound_requests_are_served(self, results, until):
+        times = [at for at, _ in self.fleet.crashes]
+        settled = times[:CRASHES_UNTIL_LIMIT][-1] + 2 * CONTACT_S
+        before = [a.status == 200 for at, a in results if at < times[0]]
+        after = [a.status == 200 for at, a in results if settled < at < until]
+        self.assertGreaterEqual(min(len(before), len(after)), 20)
+        self.assertGreaterEqual(
+            sum(after) / len(after),
+            MIN_SERVED_RATIO * sum(before) / len(before),
+        )
+
+    async def play_day(self, seed=1, disturb=None, **faults):
+        """Plays sound requests, and after a while crashing ones with them."""
+        self.set_crashing(**faults)
+        rng = random.Random(seed)
+        sound = asyncio.create_task(
+            self.play(CALM_S + PLAY_S, SOUND_PER_S, self.send_sound, rng)
+        )
+        await asyncio.sleep(CALM_S)
+        disturbance = asyncio.create_task(
+            disturb() if disturb else asyncio.sleep(0)
+        )
+        answers = await self.play(
+            PLAY_S,
+            CRASHING_PER_S * self.crashing_count,
+            self.send_crashing,
+            rng,
+        )
+        until = self.now()
+        await disturbance
+        results = await sound
+        self.assertTrue(self.fleet.crashes)
+        self.assert_few_reach_replicas()
+        self.assert_sound_requests_are_served(results, until)
+        return answers
+
+    def run_day(self, routers=7, **options):
+        self.run_fleet(
+            lambda: self.play_day(**options),
+            routers=routers,
+            engines=8,
+            services=8,
+        )
+
+
+class CrashingRequestsTest(CrashingRequestLoad):
+    # BUDGET, issue 35: a request reached replicas as long as it came again.
+    def test_request_that_crashes_replicas_is_held_back(self):
+        self.run_day()
+
+    def test_request_that_is_not_repeated_is_held_back(self):
+        self.crashing_route = "filing"
+        self.run_day()
+
+    def test_prompt_that_crashes_engines_as_a_whole_is_held_back(self):
+        self.crashing_route = "check"
+        self.routes = PROMPT_ROUTES
+        self.run_day()
+
+    def test_prompt_that_crashes_engines_after_events_is_held_back(self):
+        self.crashing_route = "review"
+        self.routes = PROMPT_ROUTES
+        self.run_day(crash_after_events=20)
+
+    def test_request_is_held_back_while_the_store_is_silent(self):
+        async def silence_store():
+            self.fleet.store.mode = store.Mode.SILENT
+            await asyncio.sleep(12.0)
+            self.fleet.store.mode = store.Mode.SERVING
+
+        self.run_day(disturb=silence_store)
+
+    def test_request_is_held_back_while_routers_restart(self):
+        async def restart_in_turn():
+            await asyncio.sleep(3.0)
+            for index in range(7):
+                await self.fleet.crash_router(index)
+                await asyncio.sleep(0.5)
+                await self.fleet.start_router(index)
+                await asyncio.sleep(1.0)
+
+        self.run_day(disturb=restart_in_turn)
+
+    def test_ends_of_services_are_counted(self):
+        async def scenario():
+            self.set_crashing()
+            rng = random.Random(1)
+            await self.send("filing", CRASH_MARK, rng)
+            ended = [
+                router.metrics.counts.get("upstream.ended", 0)
+                for router in self.fleet.routers.values()
+            ]
+            self.assertEqual(sum(ended), 1)
+
+        self.run_fleet(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
