--- a/bergamotmill/cli/main.py
+++ b/bergamotmill/cli/main.py
@@ -101,7 +101,8 @@
     audit.add_argument("--count", type=int, default=20)
     _add_common_arguments(audit)
     prompts = commands.add_parser(
-        "quarantine", help="list the prompts held back, or serve one again"
+        "quarantine",
+        help="list the prompts and requests held back, or serve one again",
     )
     prompts_actions = prompts.add_subparsers(dest="action", required=True)
     _add_common_arguments(
--- a/bergamotmill/cli/show.py
+++ b/bergamotmill/cli/show.py
@@ -120,9 +120,9 @@
 
 
 def quarantine(value: dict[str, Any], now: float) -> None:
-    """Prints the prompts that are held back."""
+    """Prints the prompts and requests that are held back."""
     if not value["entries"]:
-        print("no prompt is quarantined")
+        print("nothing is quarantined")
     for entry in value["entries"]:
         wait_s = max(0.0, entry["next_trial"] - now)
         print(
--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -1,4 +1,4 @@
-"""Shares the quarantine of prompt parts between routers.
+"""Shares the quarantine of prompt parts and requests between routers.
 
 Crash reports and entries go to all routers as messages that may be lost.
 Entries are also documents in the store, from which routers read them after a
@@ -206,15 +206,15 @@
     ) -> bool:
         """Records what a lost connection says of a prompt.
 
-        A connection can be lost while the replica goes on. Returns when what
-        peers know of the prompt has been considered.
+        A connection can be lost while the replica goes on. If the prompt is
+        suspect, returns when what peers know of it has been considered.
 
         Returns:
-            Whether the replica ended before it answered.
+            Whether the replica ended.
         """
         if lost.answered_s is not None and lost.answered_s >= SETTLED_ANSWER_S:
-            self.note_answer(prompt)
-            return False
+            self.note_answer(prompt.parts_only())
+            prompt = prompt.whole_only()
         if not await lost.has_ended():
             return False
         await self._note_crash(prompt, lost.crash)
@@ -225,7 +225,7 @@
         prompt: prompt_quarantine.Prompt,
         crash: prompt_quarantine.Crash,
     ) -> None:
-        """Records that a replica ended before it answered a prompt."""
+        """Records that a replica ended under a prompt."""
         blocking = self._state.blocking(prompt)
         if blocking:
             for entry in blocking:
@@ -234,6 +234,12 @@
         now = self._clock.monotonic()
         self._state.record_crash(prompt, crash, now)
         self._report(prompt, crash)
+        judgement = self._tasks.spawn(self._judge_later(prompt))
+        if self._state.judge(prompt, now, self._clock.wall()) is not None:
+            await asyncio.wait({judgement})
+
+    async def _judge_later(self, prompt: prompt_quarantine.Prompt) -> None:
+        """Judges a prompt once peers have said what they know of it."""
         await asyncio.sleep(EVIDENCE_WAIT_S)
         entry = self._state.judge(
             prompt, self._clock.monotonic(), self._clock.wall()
@@ -251,9 +257,9 @@
         now = self._clock.monotonic()
         answers = {
             name: self._state.answers((prompt.model, name), now)
-            for name in prompt.parts - reported
+            for name in prompt.names - reported
         }
-        reported |= prompt.parts
+        reported |= prompt.names
         while len(self._reported) > prompt_quarantine.MAX_CLEARED:
             del self._reported[next(iter(self._reported))]
         for report in codec.encode_crash_report(
@@ -264,14 +270,14 @@
     def on_crash_report(self, message: peer_pb2.CrashReport) -> None:
         """Records a peer's crash report, and returns the answers seen here."""
         now = self._clock.monotonic()
-        prompt = prompt_quarantine.Prompt(
-            message.model, frozenset(message.parts)
+        prompt = prompt_quarantine.prompt_with_names(
+            message.model, message.parts
         )
         self._state.record_crash(prompt, codec.decode_crash(message.crash), now)
         self._merge_answers(message)
         answers = {
             name: found
-            for name in sorted(prompt.parts)
+            for name in sorted(prompt.names)
             if (found := self._state.answers((prompt.model, name), now)).ever
         }
         if answers:
@@ -382,7 +388,10 @@
         """Applies an entry of this router, and tells peers and the store."""
         if not self._apply(entry, self._links.own_name):
             return
-        self._broadcast_entry(self._state.entries[entry.key])
+        entry = self._state.entries[entry.key]
+        for explained in self._state.explained_by(entry):
+            self._end(explained, f"explained by {entry.key}")
+        self._broadcast_entry(entry)
         self._to_write.add(entry.key)
         self._to_remove.discard(entry.key)
         self._tasks.spawn(self._synchronize())
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -398,6 +398,9 @@
         """Returns the gauges of the metrics page."""
         now = self._clock.monotonic()
         limits = self._allowances.limits
+        requests_held = sum(
+            entry.is_whole_request for entry in self.quarantine.entries.values()
+        )
         gauges = {
             "configuration_version": float(self.fleet.catalog.version),
             "documents_age_seconds": self.feed.staleness_s(),
@@ -408,7 +411,10 @@
             "requests_waiting": float(self.dispatcher.held_count),
             "response_bytes_buffered": float(self.dispatcher.buffered_bytes),
             "asks_waiting": float(self._placement_owner.waiting_count),
-            "prompt_parts_quarantined": float(self.quarantine.entry_count),
+            "prompt_parts_quarantined": float(
+                self.quarantine.entry_count - requests_held
+            ),
+            "requests_quarantined": float(requests_held),
             "upstreams_limited": float(len(limits)),
             "allowance_claims_waiting": float(
                 self._allowance_owner.waiting_count
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -233,7 +233,7 @@
         while True:
             if call.deadline - self._now() < const.MIN_ATTEMPT_S:
                 return self._rejection_of(progress, "no_time")
-            rejection = await self._quarantine_rejection(progress)
+            rejection = await self._quarantine_rejection(progress, service)
             if rejection is not None:
                 return rejection
             placed = await self._placer.place(progress, service)
@@ -481,9 +481,8 @@
         attempt = self._planner.plan(progress, choice)
         records.log_choice(progress, choice, attempt, self._now())
         upstream = choice.best.upstream
-        if progress.prompt is not None:
-            progress.withdrawn = asyncio.get_running_loop().create_future()
-            self._unanswered[call.request_id] = progress
+        progress.withdrawn = asyncio.get_running_loop().create_future()
+        self._unanswered[call.request_id] = progress
         try:
             status = await self._attempt_runner.run(
                 progress,
@@ -495,10 +494,17 @@
             )
         finally:
             self._unanswered.pop(call.request_id, None)
-        if progress.prompt is not None and 200 <= status < 300:
-            self._prompts.note_answer(progress.prompt)
+        self._note_answer(progress, status)
         self._record_outcome(progress, "answered", status, upstream.entry.name)
 
+    def _note_answer(
+        self, progress: call_progress.Progress, status: int
+    ) -> None:
+        """Records that an upstream answered a call; parts need a success."""
+        is_success = 200 <= status < 300
+        prompt = progress.prompt
+        self._prompts.note_answer(prompt if is_success else prompt.whole_only())
+
     async def _continue_at_standby(
         self,
         progress: call_progress.Progress,
@@ -550,7 +556,10 @@
             )
         except errors.UpstreamError as continuation_err:
             self._record_failure(progress, upstream, continuation_err)
+            if continuation_err.failure is errors.Failure.LOST:
+                await self._note_loss(progress, upstream)
             return False
+        self._note_answer(progress, status)
         self._metrics.count("streams.continued")
         self._record_outcome(progress, "answered", status, upstream.entry.name)
         return True
@@ -583,29 +592,37 @@
         return ""
 
     def _is_held_back(self, progress: call_progress.Progress) -> bool:
-        """Whether a call's prompt was quarantined since it was admitted."""
-        prompt = progress.prompt
-        return prompt is not None and bool(
-            self._prompts.holding(prompt, progress.trial_of)
-        )
+        """Whether a call was quarantined since it was admitted."""
+        return bool(self._prompts.holding(progress.prompt, progress.trial_of))
 
     async def _quarantine_rejection(
-        self, progress: call_progress.Progress
+        self, progress: call_progress.Progress, service: str
     ) -> messages.Rejection | None:
-        """Rejects a call whose prompt crashes engines, unless it is a trial."""
-        if progress.prompt is None:
-            return None
+        """Rejects a call that crashes upstreams, unless it is a trial."""
+        may_be_trial = not progress.attempts_sent and self._has_spare(service)
         admission = await self._prompts.admit(
-            progress.prompt, not progress.attempts_sent, progress.trial_of
+            progress.prompt, may_be_trial, progress.trial_of
         )
         progress.trial_of = admission.trial_of
         entry = admission.held_by
         if entry is None:
             return None
         progress.last_error = f"quarantine {entry.key}"
+        subject = "request" if entry.is_whole_request else "prompt"
         return self._rejection_of(
-            progress, "prompt_quarantined", self._prompts.retry_after_s(entry)
+            progress,
+            f"{subject}_quarantined",
+            self._prompts.retry_after_s(entry),
+        )
+
+    def _has_spare(self, service: str) -> bool:
+        """Whether a service keeps an upstream if a trial crashes one."""
+        now = self._now()
+        usable = (
+            upstream.usable(now)
+            for upstream in self._fleet.upstreams.ready(service)
         )
+        return sum(usable) > 1
 
     def _withdraw_attempts(self, entry: prompt_quarantine.Entry) -> None:
         """Gives up attempts that would crash their engines, too."""
@@ -630,37 +647,10 @@
             # It was about to end anyway: some upstreams leave without a word
             # after their entry is removed.
             return
-        parts: list[str] = []
-        if progress.prompt is None:
-            ended = await self._attempt_runner.has_ended(upstream)
-        else:
-            parts = sorted(progress.prompt.parts)
-            ended = await self._note_prompt_loss(progress, upstream)
-        if not ended:
-            return
-        self._metrics.count("upstream.ended")
-        decisions.record(
-            "upstream_ended",
-            request=progress.call.request_id,
-            upstream=entry.name,
-            born=entry.born,
-            fingerprint=progress.fingerprint,
-            parts=parts,
-        )
-
-    async def _note_prompt_loss(
-        self, progress: call_progress.Progress, upstream: upstreams.Upstream
-    ) -> bool:
-        """Records what a lost connection says of the call's prompt.
-
-        Returns:
-            Whether the upstream ended before it answered.
-        """
         answered_s = None
         if progress.answer_began_at is not None:
             answered_s = self._now() - progress.answer_began_at
-        entry = upstream.entry
-        return await self._prompts.note_loss(
+        ended = await self._prompts.note_loss(
             progress.prompt,
             quarantine.LostAttempt(
                 prompt_quarantine.Crash(entry.name, entry.born),
@@ -668,6 +658,17 @@
                 lambda: self._attempt_runner.has_ended(upstream),
             ),
         )
+        if not ended:
+            return
+        self._metrics.count("upstream.ended")
+        decisions.record(
+            "upstream_ended",
+            request=progress.call.request_id,
+            upstream=entry.name,
+            born=entry.born,
+            fingerprint=progress.fingerprint,
+            parts=sorted(progress.prompt.parts),
+        )
 
     def _record_failure(
         self,
--- a/bergamotmill/dispatch/progress.py
+++ b/bergamotmill/dispatch/progress.py
@@ -33,10 +33,9 @@
         answer_began_at: monotonic time of the first event that the present
             upstream sent; None before it, and for plain responses.
         standby: engine that keeps a copy of the run's KV memory.
-        prompt: parts of the prompt that other requests may have, too; None for
-            other requests than generations.
         fingerprint: name that all requests with the same route, path, customer
             and body share.
+        prompt: what of the request may crash upstreams.
         withdrawn: set to give up the present attempt; None if it cannot be.
         trial_of: key of the quarantine entry in spite of which the present
             attempt is made; empty for none.
@@ -57,17 +56,14 @@
         self.last_data_at = 0.0
         self.answer_began_at: float | None = None
         self.standby: standby.Standby | None = None
-        self.prompt: prompt_quarantine.Prompt | None = None
-        if call.generation is not None:
-            self.prompt = prompt_quarantine.make_prompt(
-                call.generation.model,
-                call.generation.shared_parts,
-                call.customer_name,
-            )
-        self.fingerprint = request_fingerprint.fingerprint(
-            (call.route.name, call.method, call.target, call.customer_name),
-            call.body,
+        identity = (
+            call.route.name,
+            call.method,
+            call.target,
+            call.customer_name,
         )
+        self.fingerprint = request_fingerprint.fingerprint(identity, call.body)
+        self.prompt = _prompt_of(call, identity, self.fingerprint)
         self.withdrawn: asyncio.Future[None] | None = None
         self.trial_of = ""
 
@@ -93,3 +89,28 @@
     def may_have_run(self) -> bool:
         """Whether an upstream may have run the request."""
         return self.run_tracker.state is not run_state.RunState.NOT_SENT
+
+
+def _prompt_of(
+    call: messages.Call, identity: tuple[str, ...], fingerprint: str
+) -> prompt_quarantine.Prompt:
+    """Returns what of a call may crash upstreams.
+
+    A generation has two fingerprints: with its prompt, which may be all that
+    tells it from others, and without, as a caller may vary the prompt's parts.
+    """
+    generation = call.generation
+    if generation is None:
+        return prompt_quarantine.make_prompt(
+            "", (), call.customer_name, (fingerprint,)
+        )
+    parts = [f"{part.name}:{part.tokens}" for part in generation.parts]
+    with_prompt = request_fingerprint.fingerprint(
+        (*identity, generation.model, *parts), call.body
+    )
+    return prompt_quarantine.make_prompt(
+        generation.model,
+        generation.shared_parts,
+        call.customer_name,
+        (fingerprint, with_prompt),
+    )
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -1,10 +1,12 @@
-"""Finds the parts of prompts that crash replicas, and holds them back.
+"""Finds the requests, and parts of prompts, that crash replicas.
 
 A replica that ends while an attempt on it has no event yet is evidence against
-each part of that attempt's prompt; an answer speaks for each of its parts. The
-parts with the least in their favour are quarantined: no request that contains
-them all is sent any more, except for rare trials. Nothing here performs I/O;
-`control.quarantine` shares evidence and entries between routers.
+each part of that attempt's prompt, and against the request as a whole, known by
+its fingerprint; after the first event it is evidence against the request only.
+An answer speaks for each of its parts and for the request. The parts with the
+least in their favour are quarantined, else the request: no request that
+contains them all is sent any more, except for rare trials. Nothing here
+performs I/O; `control.quarantine` shares evidence and entries between routers.
 """
 
 import collections
@@ -13,19 +15,22 @@
 
 import xxhash
 
+from bergamotmill.routing import request_fingerprint
+
 # Time after which a crash is no longer evidence, and an answer no longer speaks
 # for a part.
 EVIDENCE_WINDOW_S = 30.0
 # Time for which a part is remembered as answered at some time.
 MEMORY_WINDOW_S = 600.0
-# Crashes that make a part suspect: one that was never answered, one that was
-# not answered within the evidence window, and one that was. The last also needs
-# more crashes than answers.
+# Crashes that make a part or a request suspect: one that was never answered,
+# one that was not answered within the evidence window, and one that was. The
+# last also needs more crashes than answers.
 MIN_CRASHES_UNANSWERED = 2
 MIN_CRASHES_NOT_LATELY = 3
 MIN_CRASHES_ANSWERED = 4
-# A customer with this many entries crashes replicas with ever new parts; one
-# crash is enough for its parts that were never answered.
+# A customer with this many entries crashes replicas with ever new parts or
+# requests; one crash is enough for those of them that were never answered.
+# Contested entries do not count against requests.
 MAX_ENTRIES_PER_CUSTOMER = 4
 # Pause before the first trial, the second and so on; the last one repeats.
 TRIAL_PAUSES_S = (30.0, 120.0, 600.0, 3600.0)
@@ -48,34 +53,65 @@
 # digests, so that messages stay small.
 MAX_NAME_LENGTH = 64
 
-# Model and name of a part.
+# Model and name of a part, or fingerprint of a request; without a model for
+# requests to plain services.
 Part = tuple[str, str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prompt:
-    """The parts of a request's prompt that other requests may have, too.
+    """What of a request may crash replicas.
 
     Attributes:
-        parts: names of the parts; their order does not matter.
+        model: the request's model; empty at plain services.
+        parts: names of the parts of its prompt that other requests may have,
+            too; their order does not matter.
         customer: name of the request's customer.
+        fingerprints: names that only the same request has, sent again.
     """
 
     model: str
     parts: frozenset[str]
     customer: str = ""
+    fingerprints: frozenset[str] = frozenset()
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of the parts, and the fingerprints."""
+        return self.parts | self.fingerprints
 
+    def parts_only(self) -> "Prompt":
+        """Returns the prompt without the request as a whole."""
+        return dataclasses.replace(self, fingerprints=frozenset())
 
-def make_prompt(model: str, parts: Iterable[str], customer: str = "") -> Prompt:
+    def whole_only(self) -> "Prompt":
+        """Returns the request as a whole, without its prompt's parts."""
+        return dataclasses.replace(self, parts=frozenset())
+
+
+def make_prompt(
+    model: str,
+    parts: Iterable[str],
+    customer: str = "",
+    fingerprints: Iterable[str] = (),
+) -> Prompt:
     """Returns the prompt with the given parts.
 
     Args:
         model: the request's model.
         parts: names of the parts that other requests may have, too.
         customer: name of the request's customer.
+        fingerprints: names of the request as a whole.
     """
     names = frozenset(_shortened(name) for name in parts)
-    return Prompt(_shortened(model), names, customer)
+    return Prompt(_shortened(model), names, customer, frozenset(fingerprints))
+
+
+def prompt_with_names(model: str, names: Iterable[str]) -> Prompt:
+    """Returns a prompt from names of parts and fingerprints together."""
+    known = frozenset(names)
+    whole = frozenset(filter(request_fingerprint.is_fingerprint, known))
+    return Prompt(model, known - whole, "", whole)
 
 
 def _shortened(name: str) -> str:
@@ -108,10 +144,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
-    """Parts of prompts that are quarantined together.
+    """Parts of prompts, or a request, that are quarantined together.
 
     Attributes:
-        parts: names of the parts; a request with all of them is held back.
+        parts: names of the parts, or fingerprints; a request with all of them
+            is held back.
         customer: customer of the request that led to the entry.
         since_ms: when it was made, in Unix milliseconds.
         crashes: the latest crashes that it explains.
@@ -135,9 +172,14 @@
         text = "\0".join([self.model, *sorted(self.parts)])
         return f"{xxhash.xxh3_64_intdigest(text.encode()):016x}"
 
+    @property
+    def is_whole_request(self) -> bool:
+        """Whether it holds back one request, not the parts of a prompt."""
+        return all(map(request_fingerprint.is_fingerprint, self.parts))
+
     def blocks(self, prompt: Prompt) -> bool:
         """Whether a prompt contains all parts of the entry."""
-        return self.model == prompt.model and self.parts <= prompt.parts
+        return self.model == prompt.model and self.parts <= prompt.names
 
     def after_trial(self, wall_s: float, contested: bool) -> "Entry":
         """Returns the entry as it is while a trial runs.
@@ -148,7 +190,7 @@
         """
         pause_s = _trial_pause_s(self.trials + 1)
         if contested:
-            pause_s = min(pause_s, CONTESTED_TRIAL_PAUSES_S[1] * 2**self.trials)
+            pause_s = min(pause_s, _contested_repeat_s(self.trials))
         return dataclasses.replace(
             self, trials=self.trials + 1, next_trial_at=wall_s + pause_s
         )
@@ -173,6 +215,19 @@
     return shortest + (longest - shortest) * fraction
 
 
+def _contested_repeat_s(trials: int) -> float:
+    """Returns the pause of a contested entry after so many failed trials."""
+    return CONTESTED_TRIAL_PAUSES_S[1] * 2**trials
+
+
+def _uncontested_delay_s(entry: Entry) -> float:
+    """Returns by how much the pause grows once an entry is not contested."""
+    short_s = _contested_pause_s(entry.key)
+    if entry.trials:
+        short_s = _contested_repeat_s(entry.trials - 1)
+    return max(0.0, _trial_pause_s(entry.trials) - short_s)
+
+
 def _trial_pause_s(trials: int) -> float:
     return TRIAL_PAUSES_S[min(trials, len(TRIAL_PAUSES_S) - 1)]
 
@@ -250,6 +305,9 @@
     def __init__(self):
         self._recent = _AnsweredParts(EVIDENCE_WINDOW_S)
         self._ever = _AnsweredParts(MEMORY_WINDOW_S)
+        # Most requests never come again, so that they would fill the tables of
+        # the parts.
+        self._recent_requests = _AnsweredParts(EVIDENCE_WINDOW_S)
         self._crashes = _CrashesByPart()
         # What peers reported of parts with crashes, by part and peer.
         self._peer_answers: dict[Part, dict[str, tuple[Answers, float]]] = {}
@@ -275,7 +333,7 @@
             return []
         keys = {
             key
-            for name in prompt.parts
+            for name in prompt.names
             for key in self._keys_by_part.get((prompt.model, name), ())
         }
         return [self._entries[key] for key in sorted(keys)]
@@ -285,9 +343,11 @@
         for name in prompt.parts:
             self._recent.record((prompt.model, name), now)
             self._ever.record((prompt.model, name), now)
+        for name in prompt.fingerprints:
+            self._recent_requests.record((prompt.model, name), now)
         clearances = []
         for entry in self._entries_with(prompt):
-            remaining = entry.parts - prompt.parts
+            remaining = entry.parts - prompt.names
             successor = None
             if remaining:
                 successor = dataclasses.replace(entry, parts=remaining)
@@ -295,9 +355,9 @@
         return clearances
 
     def record_crash(self, prompt: Prompt, crash: Crash, now: float) -> None:
-        """Records that a replica ended under an unanswered attempt."""
+        """Records that a replica ended under an attempt."""
         self._crashes.expire(now)
-        for name in prompt.parts:
+        for name in prompt.names:
             self._crashes.record((prompt.model, name), crash, now)
         if len(self._peer_answers) > MAX_PARTS_WITH_CRASHES:
             with_crashes = set(self._crashes.parts())
@@ -306,6 +366,9 @@
 
     def answers(self, part: Part, now: float) -> Answers:
         """Returns the answers that this router has seen on a part."""
+        if request_fingerprint.is_fingerprint(part[1]):
+            recent = self._recent_requests.count(part, now)
+            return Answers(recent, recent > 0)
         return Answers(
             self._recent.count(part, now), self._ever.count(part, now) > 0
         )
@@ -330,12 +393,18 @@
         )
 
     def _open_crashes(self, part: Part, now: float) -> frozenset[Crash]:
-        """Returns the crashes on a part that no entry of others explains."""
+        """Returns the crashes on a part that no entry of others explains.
+
+        A request that is held back explains nothing against parts: each request
+        with the part at fault would.
+        """
         model, name = part
         crashes = self._crashes.of(part, now)
+        is_whole = request_fingerprint.is_fingerprint(name)
         for entry in self._entries.values():
             is_own = entry.model == model and name in entry.parts
-            if not is_own and not entry.contested:
+            explains = is_whole or not entry.is_whole_request
+            if not is_own and explains and not entry.contested:
                 crashes -= entry.crashes
         return crashes
 
@@ -344,62 +413,88 @@
 
         Called after a crash under the prompt has been recorded. Of the suspect
         parts the entry names those with the fewest answers, and of these the
-        ones with the most crashes.
+        ones with the most crashes. It names the request if no part is suspect.
         """
         if self.blocking(prompt):
             return None
-        ranked: dict[tuple[int, int], list[str]] = {}
-        crashes: dict[str, frozenset[Crash]] = {}
-        min_unanswered = MIN_CRASHES_UNANSWERED
-        if self._entry_count(prompt.customer) >= MAX_ENTRIES_PER_CUSTOMER:
-            min_unanswered = 1
-        for name in prompt.parts:
-            part = (prompt.model, name)
-            crashes[name] = self._open_crashes(part, now)
-            answers = self._fleet_answers(part, now)
-            if is_suspect(len(crashes[name]), answers, min_unanswered):
-                rank = (answers.recent, -len(crashes[name]))
-                ranked.setdefault(rank, []).append(name)
-        if not ranked:
+        accused = self._accused(prompt, prompt.parts, now)
+        if not accused:
+            accused = self._accused(prompt, prompt.fingerprints, now)
+        if not accused:
             return None
-        accused = ranked[min(ranked)]
-        explained = frozenset().union(*(crashes[name] for name in accused))
-        contested = self._has_other_cause(prompt, explained, now)
+        explained = frozenset().union(*accused.values())
         entry = Entry(
             prompt.model,
             frozenset(accused),
             prompt.customer,
             int(wall_s * MS_PER_S),
             explained,
-            contested,
+            False,
             0,
             wall_s,
         )
+        contested = self._has_other_cause(prompt, entry, now)
         previous = self._cleared.get(entry.key)
         trials = 0 if previous is None else previous.trials
         pause_s = _trial_pause_s(trials)
         if contested and not trials:
             pause_s = _contested_pause_s(entry.key)
         return dataclasses.replace(
-            entry, trials=trials, next_trial_at=wall_s + pause_s
+            entry,
+            contested=contested,
+            trials=trials,
+            next_trial_at=wall_s + pause_s,
         )
 
-    def _entry_count(self, customer: str) -> int:
+    def _accused(
+        self, prompt: Prompt, names: Iterable[str], now: float
+    ) -> dict[str, frozenset[Crash]]:
+        """Returns the most suspect of some names, with their crashes."""
+        ranked: dict[tuple[int, int], dict[str, frozenset[Crash]]] = {}
+        for name in names:
+            part = (prompt.model, name)
+            crashes = self._open_crashes(part, now)
+            if not crashes:
+                continue
+            min_unanswered = MIN_CRASHES_UNANSWERED
+            is_whole = request_fingerprint.is_fingerprint(name)
+            entry_count = self._entry_count(prompt.customer, is_whole)
+            if entry_count >= MAX_ENTRIES_PER_CUSTOMER:
+                min_unanswered = 1
+            answers = self._fleet_answers(part, now)
+            if is_suspect(len(crashes), answers, min_unanswered):
+                rank = (answers.recent, -len(crashes))
+                ranked.setdefault(rank, {})[name] = crashes
+        return ranked[min(ranked)] if ranked else {}
+
+    def _entry_count(self, customer: str, uncontested: bool) -> int:
+        """Returns the number of entries of a customer that count."""
         if not customer:
             return 0
         return sum(
-            entry.customer == customer for entry in self._entries.values()
+            entry.customer == customer and not (uncontested and entry.contested)
+            for entry in self._entries.values()
         )
 
     def _has_other_cause(
-        self, prompt: Prompt, crashes: frozenset[Crash], now: float
+        self, prompt: Prompt, entry: Entry, now: float
     ) -> bool:
-        """Whether parts that are not in the prompt explain all crashes."""
-        unexplained = crashes
+        """Whether what is not in the prompt explains all crashes of an entry.
+
+        Parts do so together; a request does so alone, and only against another
+        request.
+        """
+        unexplained = entry.crashes
         for part in self._crashes.parts():
-            if part[0] == prompt.model and part[1] in prompt.parts:
+            if part[0] == prompt.model and part[1] in prompt.names:
+                continue
+            is_whole = request_fingerprint.is_fingerprint(part[1])
+            if is_whole and not entry.is_whole_request:
+                continue
+            crashes = self._crashes.of(part, now)
+            if is_whole and not entry.crashes <= crashes:
                 continue
-            others = unexplained & self._crashes.of(part, now)
+            others = unexplained & crashes
             if others and not self._fleet_answers(part, now).ever:
                 unexplained -= others
         return not unexplained
@@ -410,8 +505,8 @@
             other
             for other in self._entries.values()
             if other.model == entry.model
-            and other.crashes & entry.crashes
             and not other.parts & entry.parts
+            and _explains(other, entry)
         ]
 
     def is_contested(self, entry: Entry) -> bool:
@@ -458,6 +553,19 @@
             if wall_s - entry.next_trial_at > IDLE_EXPIRY_S
         ]
 
+    def explained_by(self, entry: Entry) -> list[Entry]:
+        """Returns the requests held back whose crashes an entry explains."""
+        if entry.contested:
+            return []
+        return [
+            other
+            for other in self._entries.values()
+            if other.is_whole_request
+            and other.contested
+            and not other.parts & entry.parts
+            and other.crashes <= entry.crashes
+        ]
+
     def add_crash(self, entry: Entry, crash: Crash) -> Entry:
         """Returns an entry that explains one more crash.
 
@@ -467,10 +575,13 @@
             entry.crashes - {crash}, key=lambda item: item.incarnation
         )
         kept = known[-(MAX_CRASHES_PER_ENTRY - 1) :]
+        changed = dataclasses.replace(entry, crashes=frozenset([*kept, crash]))
+        contested = self.is_contested(changed)
+        next_trial_at = entry.next_trial_at
+        if entry.is_whole_request and entry.contested and not contested:
+            next_trial_at += _uncontested_delay_s(entry)
         return dataclasses.replace(
-            entry,
-            crashes=frozenset([*kept, crash]),
-            contested=self.is_contested(entry),
+            changed, contested=contested, next_trial_at=next_trial_at
         )
 
     def clear(self, key: str, since_ms: int) -> bool:
@@ -511,6 +622,16 @@
     return crashes >= min_unanswered
 
 
+def _explains(other: Entry, entry: Entry) -> bool:
+    """Whether another entry explains crashes of an entry as well.
+
+    A request explains only those of another request, and only all of them.
+    """
+    if not other.is_whole_request:
+        return bool(other.crashes & entry.crashes)
+    return entry.is_whole_request and other.crashes >= entry.crashes
+
+
 def _merged(known: Entry, other: Entry) -> Entry:
     """Returns an entry with what two routers know of the same parts."""
     return dataclasses.replace(
--- a/tests/dispatch/test_crashing_requests.py
+++ b/tests/dispatch/test_crashing_requests.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from bergamotmill.platform import const
 from bergamotmill.standin.platform import fleet
 from bergamotmill.standin.platform import store
 from tests import platform_case
@@ -187,6 +188,169 @@
 
         self.run_day(disturb=restart_in_turn)
 
+    def test_several_requests_are_each_held_back(self):
+        self.crashing_count = 8
+        self.run_day()
+
+    def test_request_is_held_back_at_many_routers(self):
+        self.run_day(routers=20)
+
+    async def provoke(self, route="lookup"):
+        """Has a request crash two replicas; returns the last answer."""
+        self.set_crashing()
+        rng = random.Random(4)
+        while len(self.fleet.crashes) < 2:
+            answer = await self.send(route, CRASH_MARK, rng)
+        await asyncio.sleep(0.2)
+        return answer
+
+    def arrivals(self):
+        return sum(CRASH_MARK in run.body for run in self.fleet.runs())
+
+    def test_caller_learns_whether_the_request_has_run(self):
+        async def scenario():
+            for route in ("lookup", "filing"):
+                with self.subTest(route):
+                    self.fleet.crashes.clear()
+                    answer = await self.provoke(route)
+                    self.assertEqual(answer.status, 502)
+                    arrivals = self.arrivals()
+                    answer = await self.send(
+                        route, CRASH_MARK, random.Random(1)
+                    )
+                    self.assertEqual(answer.status, 503)
+                    self.assertEqual(answer.body, b"request_quarantined\n")
+                    retry_after_s = float(answer.headers[b"retry-after"])
+                    self.assertGreater(retry_after_s, 20.0)
+                    self.assertLess(answer.seconds, 0.05)
+                    self.assertEqual(self.arrivals(), arrivals)
+                    await asyncio.sleep(2 * CONTACT_S)
+
+        self.run_fleet(scenario, engines=4, services=8)
+
+    def test_similar_requests_are_served(self):
+        async def scenario():
+            await self.provoke()
+            self.set_crashing(mark=b"")
+            calls = (
+                self.fleet.call("lookup", body=b"sound"),
+                self.fleet.call("lookup", body=CRASH_MARK, key="key-two"),
+                self.fleet.call("filing", body=CRASH_MARK),
+                self.fleet.call("lookup", body=CRASH_MARK, method="GET"),
+            )
+            answers = await asyncio.gather(*calls)
+            self.assertEqual({answer.status for answer in answers}, {200})
+
+        self.run_fleet(scenario, engines=2, services=6)
+
+    def test_shared_parts_of_a_crashing_prompt_are_served(self):
+        async def scenario():
+            for _ in range(5):
+                await self.fleet.call("check", parts="sys:9,file1:400,a:9")
+            await self.provoke("check")
+            self.set_crashing(mark=b"")
+            answer = await self.fleet.call(
+                "check", parts="sys:512,file1:400,b:300"
+            )
+            self.assertEqual(answer.status, 200)
+
+        self.run_fleet(scenario, engines=6)
+
+    def test_prompt_is_recognized_although_its_parts_vary(self):
+        async def scenario():
+            for name in ("sys", "file1"):
+                await self.fleet.call("check", parts=f"{name}:9,a:9")
+            self.set_crashing()
+            for number in range(4):
+                await self.fleet.call(
+                    "check",
+                    router=number % 3,
+                    parts=f"sys:512,file1:400,own{number}:300",
+                    body=CRASH_MARK,
+                )
+            self.assertLessEqual(len(self.fleet.crashes), CRASHES_UNTIL_LIMIT)
+
+        self.run_fleet(scenario, engines=8)
+
+    def test_request_is_served_again_once_it_crashes_nothing(self):
+        async def scenario():
+            await self.provoke()
+            self.set_crashing(mark=b"")
+            rng = random.Random(2)
+            statuses = []
+            for _ in range(40):
+                answers = await asyncio.gather(
+                    *(self.send("lookup", CRASH_MARK, rng) for _ in range(6))
+                )
+                statuses.append({answer.status for answer in answers})
+                await asyncio.sleep(1.0)
+            self.assertEqual(statuses[0], {503})
+            self.assertEqual(statuses[-1], {200})
+            # One request for the whole fleet was the trial.
+            mixed = [found for found in statuses if len(found) > 1]
+            self.assertLessEqual(len(mixed), 1)
+
+        self.run_fleet(scenario, engines=2, services=6)
+
+    def test_no_trial_ends_the_last_replica_of_a_service(self):
+        async def scenario():
+            await self.provoke()
+            for name in ("s0", "s1", "s2"):
+                if name in self.fleet.replicas:
+                    await self.fleet.replicas[name].leave()
+            await asyncio.sleep(40.0)
+            usable = [
+                item
+                for item in self.fleet.replicas.values()
+                if not item.model and item.state == "ready"
+            ]
+            for item in usable[1:]:
+                await item.leave()
+            await asyncio.sleep(1.0)
+            crashes = len(self.fleet.crashes)
+            answer = await self.send("lookup", CRASH_MARK, random.Random(3))
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(len(self.fleet.crashes), crashes)
+
+        self.run_fleet(scenario, engines=2, services=4)
+
+    def test_operator_ends_a_quarantine_by_removing_its_document(self):
+        async def scenario():
+            await self.provoke()
+            self.set_crashing(mark=b"")
+            entries = await self.fleet.store.memory.scan(
+                const.PREFIX_QUARANTINE
+            )
+            (entry,) = entries.unwrap()
+            self.assertNotIn(CRASH_MARK, entry.value)
+            await self.fleet.store.remove(entry.key)
+            await asyncio.sleep(1.0)
+            answer = await self.send("lookup", CRASH_MARK, random.Random(3))
+            self.assertEqual(answer.status, 200)
+
+        self.run_fleet(scenario, services=6)
+
+    def test_requests_beside_a_crashing_one_are_served_again(self):
+        async def scenario():
+            for standin in self.fleet.replicas.values():
+                standin.faults.crash_after_s = 0.2
+            self.set_crashing()
+            rng = random.Random(6)
+            bodies = [b"beside:%d" % number for number in range(6)]
+            for _ in range(3):
+                await asyncio.gather(
+                    *(self.send("lookup", body, rng) for body in bodies),
+                    self.send("lookup", CRASH_MARK, rng),
+                )
+                await asyncio.sleep(CONTACT_S)
+            await asyncio.sleep(5.0)
+            answers = await asyncio.gather(
+                *(self.send("lookup", body, rng) for body in bodies)
+            )
+            self.assertEqual({answer.status for answer in answers}, {200})
+
+        self.run_fleet(scenario, engines=2, services=3)
+
     def test_ends_of_services_are_counted(self):
         async def scenario():
             self.set_crashing()
@@ -201,5 +365,34 @@
         self.run_fleet(scenario)
 
 
+class OtherEndsTest(CrashingRequestLoad):
+    def test_replicas_that_end_by_themselves_hold_nothing_back(self):
+        self.routes = ("lookup", "filing", *PROMPT_ROUTES)
+
+        async def send_popular(results, rng):
+            answer = await self.send("lookup", b"popular", rng)
+            results.append((self.now(), answer))
+
+        async def end_in_series(rng):
+            for _ in range(14):
+                await asyncio.sleep(1.5)
+                names = sorted(self.fleet.replicas)
+                name = rng.choice(names)
+                self.fleet.crash_for_a_time(self.fleet.replicas[name])
+
+        async def scenario():
+            rng = random.Random(8)
+            ends = asyncio.create_task(end_in_series(rng))
+            sound, popular = await asyncio.gather(
+                self.play(24.0, SOUND_PER_S, self.send_sound, rng),
+                self.play(24.0, 8.0, send_popular, rng),
+            )
+            await ends
+            held = [a for _, a in sound + popular if b"quarantined" in a.body]
+            self.assertEqual(held, [])
+
+        self.run_fleet(scenario, routers=7, engines=8, services=8)
+
+
 if __name__ == "__main__":
     unittest.main()
