--- a/bergamotmill/bench/dispatch.py
+++ b/bergamotmill/bench/dispatch.py
@@ -28,6 +28,8 @@
 # this rate from the time of the faults on, and earn nothing.
 CRASHING_PART = "crash"
 CRASHING_PER_S = 3.0
+# In the case `crashing_requests`, one lookup with this body does so, too.
+CRASHING_BODY = b"crash"
 # Standard deviation of the logarithm of log-normal token counts.
 SIZE_SIGMA = 0.6
 
@@ -183,6 +185,7 @@
         )
         self.waiting_samples: list[tuple[float, int]] = []
         self.engines_ended = 0
+        self.services_ended = 0
         self.crashing_sent = 0
         self._engines: dict[str, replica.ReplicaStandIn] = {}
 
@@ -234,7 +237,8 @@
         await asyncio.wait(send_tasks)
         await fault_task
         sampler.cancel()
-        self.engines_ended = len(fleet.crashes)
+        self.engines_ended = sum(bool(item.model) for item in fleet.crashed)
+        self.services_ended = len(fleet.crashed) - self.engines_ended
         await fleet.close()
 
     def _configure_engines(self, fleet: platform_fleet.PlatformFleet) -> None:
@@ -266,8 +270,11 @@
             limited = names[:LIMITED_ENGINES] if case == "limited" else names
             for name in limited:
                 fleet.replicas[name].faults.limit = str(self._arguments.limit)
-        if case in ("crashing", "all"):
-            await self._send_crashing(fleet)
+        async with asyncio.TaskGroup() as group:
+            if case in ("crashing", "all"):
+                group.create_task(self._send_crashing(fleet))
+            if case in ("crashing_requests", "all"):
+                group.create_task(self._send_crashing_requests(fleet))
 
     async def _send_crashing(self, fleet) -> None:
         """Sends prompts that crash engines until the end of the load."""
@@ -292,6 +299,24 @@
                 # Engines that are back have their memory to be set again.
                 self._configure_engines(fleet)
 
+    async def _send_crashing_requests(self, fleet) -> None:
+        """Sends one request that crashes replicas until the load ends."""
+        for standin in fleet.replicas.values():
+            standin.faults.crash_mark = CRASHING_BODY
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._arguments.seconds * 2 / 3
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < end:
+                await asyncio.sleep(self._rng.expovariate(CRASHING_PER_S))
+                self.crashing_sent += 1
+                group.create_task(
+                    fleet.call(
+                        "lookup",
+                        router=self._rng.choice(sorted(fleet.routers)),
+                        body=CRASHING_BODY,
+                    )
+                )
+
     async def _sample_waiting(self, fleet, started_at: float) -> None:
         """Records every 0.5 s how many requests are held at the routers."""
         loop = asyncio.get_running_loop()
@@ -341,6 +366,7 @@
         "tokens_read_k": experiment.prefilled_tokens / 1000,
         "waiting_most": max(held for _, held in experiment.waiting_samples),
         "engines_ended": experiment.engines_ended,
+        "services_ended": experiment.services_ended,
         "crashing_sent": experiment.crashing_sent,
     }
     for kind in ASSOCIATION:
@@ -370,6 +396,7 @@
             "engines_lost",
             "weights",
             "crashing",
+            "crashing_requests",
             "unframed",
             "limited",
             "all_limited",
--- a/bergamotmill/bench/process_soak/const.py
+++ b/bergamotmill/bench/process_soak/const.py
@@ -21,8 +21,15 @@
 # later, no more than this number of such requests may reach replicas.
 CRASHES_UNTIL_LIMIT = 5
 MAX_REQUESTS_AFTER_CRASHES = 3
+# The same for one request that crashes replicas and comes again.
+REQUEST_CRASHES_UNTIL_LIMIT = 3
+# Part of the body of such requests.
+CRASH_MARK = b"crash-request-"
 # Fraction of the prompts that have a crashing part while such prompts are sent.
 CRASHING_FRACTION = 0.2
+# Fraction of the requests to plain services that crash them, while such
+# requests are sent.
+CRASHING_REQUEST_FRACTION = 0.2
 # From FAULT_SETTLE_S after a replica has named a limit, each window may hold
 # this many times what it allows, and this many more.
 LIMIT_WINDOW_S = 4.0
--- a/bergamotmill/bench/process_soak/faults.py
+++ b/bergamotmill/bench/process_soak/faults.py
@@ -269,6 +269,21 @@
     fleet.sent_crashing_parts.remove(part)
 
 
+@FAULTS.register("crashing_requests")
+async def crashing_requests(
+    fleet: soak_fleet.Fleet, rng: random.Random
+) -> None:
+    """Has callers send one request again and again that crashes replicas."""
+    seconds = rng.uniform(3.0, 8.0)
+    body = fleet.add_crashing_body()
+    fleet.observed.record_fault(
+        "replica", body.decode(), seconds + const.FAULT_SETTLE_S
+    )
+    fleet.sent_crashing_bodies.append(body)
+    await asyncio.sleep(seconds)
+    fleet.sent_crashing_bodies.remove(body)
+
+
 @FAULTS.register("replica_leaves")
 async def replica_leaves(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
     """Drains a replica after starting its replacement.
--- a/bergamotmill/bench/process_soak/fleet.py
+++ b/bergamotmill/bench/process_soak/fleet.py
@@ -187,6 +187,10 @@
         # of the callers' prompts now.
         self._crashing_parts: frozenset[str] = frozenset()
         self.sent_crashing_parts: list[str] = []
+        # Bodies of requests that crash the replicas of plain services, and
+        # that callers send now.
+        self.sent_crashing_bodies: list[bytes] = []
+        self._crashing_body_count = 0
         self._tasks = background.Tasks()
         self.routers = [
             Router(index, self._router_settings(index, routers), folder)
@@ -256,12 +260,22 @@
             standin.faults.crash_parts = self._crashing_parts
         return part
 
+    def add_crashing_body(self) -> bytes:
+        """Returns the body of a new request that crashes replicas."""
+        self._crashing_body_count += 1
+        return const.CRASH_MARK + b"%d" % self._crashing_body_count
+
     def _on_crash(self, standin: replica.ReplicaStandIn) -> None:
-        """Ends an engine that a prompt crashed, and starts another later."""
+        """Ends a replica that a request crashed, and starts another later."""
         if standin.name not in self.replicas:
             return
         for run in standin.runs:
             if run.outcome == "crashed":
+                if const.CRASH_MARK in run.body:
+                    times = self.observed.request_crashes.setdefault(
+                        run.body, []
+                    )
+                    times.append(self.now())
                 for part in self._crashing_parts.intersection(run.parts):
                     times = self.observed.crashes.setdefault(part, [])
                     times.append(self.now())
@@ -302,6 +316,7 @@
             listen=listen_address,
         )
         standin.faults.crash_parts = self._crashing_parts
+        standin.faults.crash_mark = const.CRASH_MARK
         standin.on_crash = self._on_crash
         # Faults may stop a replica as soon as it is among the others.
         await replica_proxy.start()
@@ -381,6 +396,7 @@
                         run.weights,
                         run.continued,
                         parts=run.parts,
+                        body=run.body,
                     )
                 )
             for at, request_id, customer in standin.refused[refused_count:]:
--- a/bergamotmill/bench/process_soak/observations.py
+++ b/bergamotmill/bench/process_soak/observations.py
@@ -53,6 +53,7 @@
             a copy of its KV.
         accepted: whether the replica ran the request instead of refusing it.
         parts: names of the parts of its prompt.
+        body: the request's body.
     """
 
     at: float
@@ -64,6 +65,7 @@
     continued: bool = False
     accepted: bool = True
     parts: tuple[str, ...] = ()
+    body: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -111,8 +113,10 @@
         self.requests: list[Request] = []
         self.arrivals: list[Arrival] = []
         self.fault_spans: list[FaultSpan] = []
-        # Times at which replicas crashed, by the part that crashed them.
+        # Times at which replicas crashed, by the part that crashed them, and
+        # by the body of the request that did.
         self.crashes: dict[str, list[float]] = {}
+        self.request_crashes: dict[bytes, list[float]] = {}
         self.orders: list[Order] = []
         self.limit_spans: list[LimitSpan] = []
         # The name of each router by the address on which it takes requests.
--- a/bergamotmill/bench/process_soak/promises.py
+++ b/bergamotmill/bench/process_soak/promises.py
@@ -202,30 +202,57 @@
 def _crashing_prompts(observed: observations.Observations) -> list[str]:
     violations = []
     for part, times in observed.crashes.items():
-        if len(times) < const.CRASHES_UNTIL_LIMIT:
-            continue
-        limit_at = (
-            times[const.CRASHES_UNTIL_LIMIT - 1]
-            + const.FAULT_SETTLE_S
-            + const.TIMING_TOLERANCE_S
-        )
-        late = [
-            run.at
-            for run in observed.arrivals
-            if part in run.parts[:-1]
-            and run.at > limit_at
-            and observed.fault_free(
-                run.at - const.FAULT_SETTLE_S, run.at, ("replica",)
-            )
+        arrivals = [
+            run.at for run in observed.arrivals if part in run.parts[:-1]
         ]
-        if len(late) > const.MAX_REQUESTS_AFTER_CRASHES:
+        late_count = _count_late(
+            observed, times, arrivals, const.CRASHES_UNTIL_LIMIT
+        )
+        if late_count > const.MAX_REQUESTS_AFTER_CRASHES:
             violations.append(
-                f"{len(late)} requests with {part} reached engines after "
+                f"{late_count} requests with {part} reached engines after "
                 f"{const.CRASHES_UNTIL_LIMIT} had ended"
             )
     return violations
 
 
+def _count_late(
+    observed: observations.Observations,
+    crashes: list[float],
+    arrivals: list[float],
+    crashes_until_limit: int,
+) -> int:
+    """Counts arrivals that are too late after so many crashes."""
+    if len(crashes) < crashes_until_limit:
+        return 0
+    limit_at = (
+        crashes[crashes_until_limit - 1]
+        + const.FAULT_SETTLE_S
+        + const.TIMING_TOLERANCE_S
+    )
+    return sum(
+        at > limit_at
+        and observed.fault_free(at - const.FAULT_SETTLE_S, at, ("replica",))
+        for at in arrivals
+    )
+
+
+@PROMISES.register("a request that crashes replicas rarely reaches them")
+def _crashing_requests(observed: observations.Observations) -> list[str]:
+    violations = []
+    for body, times in observed.request_crashes.items():
+        arrivals = [run.at for run in observed.arrivals if run.body == body]
+        late_count = _count_late(
+            observed, times, arrivals, const.REQUEST_CRASHES_UNTIL_LIMIT
+        )
+        if late_count > const.MAX_REQUESTS_AFTER_CRASHES:
+            violations.append(
+                f"{body.decode()} reached replicas {late_count} times after "
+                f"{const.REQUEST_CRASHES_UNTIL_LIMIT} had ended"
+            )
+    return violations
+
+
 @PROMISES.register("replicas that name a limit get no more than it allows")
 def _stated_limits(observed: observations.Observations) -> list[str]:
     violations = []
--- a/bergamotmill/bench/process_soak/traffic.py
+++ b/bergamotmill/bench/process_soak/traffic.py
@@ -21,6 +21,7 @@
     "filing": ("POST", 1.5, False),
     "lookup": ("GET", 1.5, True),
 }
+PLAIN_ROUTES = ("filing", "lookup")
 ROUTE_WEIGHTS = (3, 4, 4, 2)
 CUSTOMER_KEYS = tuple(platform_fleet.CUSTOMER_BY_KEY)
 
@@ -110,8 +111,17 @@
         )
         self._fleet.observed.requests.append(request)
         event_count = self._rng.choice((5, 40, 120))
-        headers = self._headers_of(request, event_count)
         body = request.request_id.encode() * 3 if method == "POST" else b""
+        crashing_bodies = self._fleet.sent_crashing_bodies
+        if (
+            crashing_bodies
+            and route in PLAIN_ROUTES
+            and self._rng.random() < const.CRASHING_REQUEST_FRACTION
+        ):
+            # The same request each time: method, customer and body agree.
+            method, body = "POST", self._rng.choice(crashing_bodies)
+            request.key = CUSTOMER_KEYS[0]
+        headers = self._headers_of(request, event_count)
         try:
             async with asyncio.timeout(timeout_s + 2.0):
                 await self._exchange(
@@ -187,7 +197,7 @@
         return "carries another request's id"
     if not head.get_header(platform_const.HEADER_RESPONSE_SEAL):
         return "has no response seal"
-    if request.route in ("filing", "lookup"):
+    if request.route in PLAIN_ROUTES:
         expected = b"done:" + request.request_id.encode() + body
         return "" if data == expected else f"another body, {data[:40]!r}"
     events = [
--- a/tests/bench/test_dispatch.py
+++ b/tests/bench/test_dispatch.py
@@ -90,6 +90,19 @@
         self.assertLessEqual(figures["engines_ended"], 4)
         self.assertGreater(figures["credit"], 0.9)
 
+    def test_load_is_served_beside_a_request_that_crashes_replicas(self):
+        figures = self.run_experiment(
+            "--policies",
+            "ours",
+            "--case",
+            "crashing_requests",
+            "--seconds",
+            "12",
+        )["ours"]
+        self.assertGreater(figures["crashing_sent"], 10)
+        self.assertLessEqual(figures["services_ended"], 3)
+        self.assertGreater(figures["credit"], 0.9)
+
     def test_same_seed_repeats_the_figures(self):
         options = ("--policies", "ours", "--case", "weights")
         self.assertEqual(
--- a/tests/bench/test_process_soak.py
+++ b/tests/bench/test_process_soak.py
@@ -182,6 +182,23 @@
         ]
         self.assert_no_violations()
 
+    def test_request_that_crashes_replicas_reaches_them_too_often(self):
+        self.observed.requests = [
+            request(f"r{number}", "filing") for number in range(20)
+        ]
+        self.observed.request_crashes = {b"bad": [100.0, 100.2, 100.4]}
+        self.observed.arrivals = [
+            arrival(f"r{number}", at=101.0, body=b"bad") for number in range(20)
+        ]
+        self.assert_no_violations()
+        for item in self.observed.arrivals[: const.MAX_REQUESTS_AFTER_CRASHES]:
+            item.at = 110.0
+        self.observed.arrivals[-1].body = b"sound"
+        self.observed.arrivals[-1].at = 110.0
+        self.assert_no_violations()
+        self.observed.arrivals[-1].body = b"bad"
+        self.assert_violated("a request that crashes replicas")
+
     def test_replica_gets_more_requests_than_its_limit_allows(self):
         self.observed.limit_spans = [
             observations.LimitSpan("e1", 1.5, 100.0, 108.0)
