--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -173,6 +173,10 @@
             return Admission(None, entry.key)
         return Admission(entry)
 
+    def is_trial_due(self, entry: prompt_quarantine.Entry) -> bool:
+        """Whether a request may be sent in spite of an entry, as a trial."""
+        return self._clock.wall() >= self._state.trial_at(entry)
+
     def retry_after_s(self, entry: prompt_quarantine.Entry) -> float:
         """Returns after how many seconds a request held back may be tried."""
         left_s = self._state.trial_at(entry) - self._clock.wall()
@@ -361,7 +365,7 @@
 
         Only one router of the fleet may, and only while the store answers.
         """
-        if self._clock.wall() < self._state.trial_at(entry):
+        if not self.is_trial_due(entry):
             return False
         key = self._links.key_prefix + entry.key
         revision = self._links.revision(key)
--- a/bergamotmill/filings/manager.py
+++ b/bergamotmill/filings/manager.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 import loguru
 
@@ -241,7 +242,8 @@
         self, err: errors.UpstreamError, tracker: run_state.RunTracker
     ) -> messages.Outcome:
         self._metrics.count(f"filings.failures.{err.failure.value}")
-        return _failure_outcome(tracker, str(err))
+        outcome = _failure_outcome(tracker, str(err))
+        return dataclasses.replace(outcome, retry_after_s=err.retry_after_s)
 
     async def _forward(
         self, filing: messages.Filing, router: str, incarnation: int
--- a/bergamotmill/filings/messages.py
+++ b/bergamotmill/filings/messages.py
@@ -65,6 +65,8 @@
         body: body of the response; empty if it is no longer stored.
         reason: explanation of the state, or of a missing body.
         upstream: name of the upstream that responded.
+        retry_after_s: when a call that has not run may be sent again, in
+            seconds; 0 if unknown.
     """
 
     state: FilingState
@@ -73,3 +75,4 @@
     body: bytes = b""
     reason: str = ""
     upstream: str = ""
+    retry_after_s: float = 0.0
--- a/bergamotmill/front/callers.py
+++ b/bergamotmill/front/callers.py
@@ -289,10 +289,25 @@
         if refused is not None:
             responses.send_refusal(exchange, refused)
             return
-        if request.method in client.service.idempotent_methods:
-            await self._call_idempotent(
-                exchange, customer, client, "/" + target, time_left_s.ok()
-            )
+        is_idempotent = request.method in client.service.idempotent_methods
+        call = plain_config.ServiceCall(
+            self._ids.new(),
+            customer.name,
+            request.method,
+            "/" + target,
+            request.headers.get("content-type", ""),
+            request.body,
+            is_idempotent,
+            min(time_left_s.ok(), client.service.timeout_s),
+        )
+        # A filing with a key may have run before; its record tells.
+        is_new = is_idempotent or const.HEADER_KEY not in request.headers
+        held_for_s = client.held_for_s(call) if is_new else 0.0
+        if held_for_s:
+            self._refuse(exchange, _held_back(held_for_s))
+            return
+        if is_idempotent:
+            await self._call_idempotent(exchange, client, call)
         else:
             await self._submit_filing(
                 exchange, customer, name, "/" + target, time_left_s.ok()
@@ -301,27 +316,16 @@
     async def _call_idempotent(
         self,
         exchange: http_server.Exchange,
-        customer: core.Customer,
         client: plain.ServiceClient,
-        target: str,
-        time_left_s: float,
+        call: plain_config.ServiceCall,
     ) -> None:
-        call = plain_config.ServiceCall(
-            self._ids.new(),
-            customer.name,
-            exchange.request.method,
-            target,
-            exchange.request.headers.get("content-type", ""),
-            exchange.request.body,
-            True,
-            min(time_left_s, client.service.timeout_s),
-        )
         tracker = run_state.RunTracker()
         for attempt in range(IDEMPOTENT_ATTEMPTS):
             try:
                 response = await client.call(call, tracker)
             except errors.UpstreamError as err:
-                if attempt + 1 < IDEMPOTENT_ATTEMPTS:
+                held_for_s = client.held_for_s(call)
+                if attempt + 1 < IDEMPOTENT_ATTEMPTS and not held_for_s:
                     continue
                 self._refuse(
                     exchange,
@@ -370,6 +374,16 @@
         responses.send_filing_outcome(exchange, outcome, key)
 
 
+def _held_back(seconds: float) -> refusal.Refusal:
+    """Returns the refusal of a call that crashes upstreams, and has not run."""
+    return refusal.Refusal(
+        503,
+        refusal.CODE_REQUEST_QUARANTINED,
+        "upstreams ended under this request",
+        retry_after_s=seconds,
+    )
+
+
 @ROUTES.register(const.PATH_CHAT)
 async def _chat(front, exchange, customer) -> None:
     await _generate_on_post(front, exchange, customer)
--- a/bergamotmill/front/parse.py
+++ b/bergamotmill/front/parse.py
@@ -13,6 +13,7 @@
 from bergamotmill.front import const
 from bergamotmill.helpers import http_server
 from bergamotmill.helpers import refusal
+from bergamotmill.routing import request_fingerprint
 from bergamotmill.streams import messages
 
 _ROLES = ("system", "developer", "user", "assistant", "tool", "function")
@@ -91,6 +92,9 @@
             adapter=adapter,
             path=request.path,
             body=value,
+            fingerprint=request_fingerprint.fingerprint(
+                (request.path, customer.name), request.body
+            ),
             stream=bool(value.get("stream", False)),
             show_usage=bool(options.get("include_usage", False)),
             deadline=now + time_left_s.ok(),
--- a/bergamotmill/front/responses.py
+++ b/bergamotmill/front/responses.py
@@ -66,7 +66,7 @@
             code,
             outcome.reason or outcome.state.value,
             _RUN_STATE.get(outcome.state, run_state.RunState.MAY_HAVE_RUN),
-            _RETRY_AFTER_S.get(outcome.state, 0.0),
+            outcome.retry_after_s or _RETRY_AFTER_S.get(outcome.state, 0.0),
             "Idempotency-Key",
         ),
     )
--- a/bergamotmill/helpers/refusal.py
+++ b/bergamotmill/helpers/refusal.py
@@ -16,6 +16,7 @@
 CODE_STREAM_LOST = "stream_lost"
 CODE_INVALID_API_KEY = "invalid_api_key"
 CODE_PROMPT_QUARANTINED = "prompt_quarantined"
+CODE_REQUEST_QUARANTINED = "request_quarantined"
 CODE_KEY_REUSED = "idempotency_key_reused"
 
 _ERROR_TYPES = {
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -507,6 +507,8 @@
                     service,
                     self._settings.router.data_centre,
                     self._vm_list.leaving,
+                    self.quarantine,
+                    self._clock,
                     self._rng,
                 )
 
--- a/bergamotmill/standin/cluster.py
+++ b/bergamotmill/standin/cluster.py
@@ -23,7 +23,7 @@
 from bergamotmill.util import memory_network
 from bergamotmill.util import tasks as background
 
-# Time after which an engine that a prompt crashed is back.
+# Time after which an engine or a service that a request crashed is back.
 ENGINE_RESTART_S = 3.0
 KEY_VALUE_HOST = "10.0.3.1"
 VM_LIST_HOST = "10.0.3.2"
@@ -103,6 +103,8 @@
     Attributes:
         engine_faults: faults of engines that are started from now on.
         crashes: times at which prompts crashed engines.
+        service_crashes: times at which calls crashed services.
+        service_crash_mark: what in a call crashes services; empty for none.
     """
 
     def __init__(
@@ -122,6 +124,8 @@
         self.routers: dict[int, bergamotmill_router.Router] = {}
         self.engine_faults = engine.Faults()
         self.crashes: list[float] = []
+        self.service_crashes: list[float] = []
+        self.service_crash_mark = b""
         self._crash_tasks = background.Tasks()
         self._incarnation = 0
         self._engine_incarnation = 0
@@ -257,10 +261,27 @@
 
     async def start_service(self, index: int) -> None:
         """Starts an instance of the plain HTTP service."""
+        self.network.revive(service_host(index))
         standin = service.ServiceStandIn(f"{service_host(index)}:80")
+        standin.crash_mark = self.service_crash_mark
+        standin.on_crash = lambda _: self._crash_service_for_a_time(index)
         self.services[index] = standin
         await self.run_as_host(service_host(index), standin.start())
 
+    def _crash_service_for_a_time(self, index: int) -> None:
+        """Ends a service that a call crashed; it is back after a time."""
+        standin = self.services.pop(index, None)
+        if standin is None:
+            return
+        self.service_crashes.append(asyncio.get_running_loop().time())
+        self.network.kill(service_host(index))
+        self._crash_tasks.spawn(standin.close())
+        self._crash_tasks.spawn(self._restart_service(index))
+
+    async def _restart_service(self, index: int) -> None:
+        await asyncio.sleep(ENGINE_RESTART_S)
+        await self.start_service(index)
+
     async def close(self) -> None:
         """Stops all parts."""
         await self._crash_tasks.close()
--- a/bergamotmill/standin/engine.py
+++ b/bergamotmill/standin/engine.py
@@ -34,6 +34,7 @@
         crossed_answers: whether answers carry the id of another request.
         crash_text: text in a message, other than the last one, on which the
             engine crashes when it begins to answer; empty for none.
+        crash_last_text: the same for text in the last message.
     """
 
     ignore_fencing: bool = False
@@ -41,6 +42,7 @@
     ignore_orders: bool = False
     crossed_answers: bool = False
     crash_text: str = ""
+    crash_last_text: str = ""
 
 
 def _ignore_crash(standin: "EngineStandIn") -> None:
@@ -127,11 +129,13 @@
                 pass
 
     def _crashes_on(self, body: dict[str, Any]) -> bool:
-        text = self.faults.crash_text
-        return bool(text) and any(
-            text in str(message.get("content"))
-            for message in body.get("messages", ())[:-1]
-        )
+        contents = [
+            str(message.get("content")) for message in body.get("messages", ())
+        ]
+        text, last_text = self.faults.crash_text, self.faults.crash_last_text
+        return (
+            bool(text) and any(text in content for content in contents[:-1])
+        ) or (bool(last_text) and last_text in contents[-1])
 
     async def _handle(self, exchange: http_server.Exchange) -> None:
         request = exchange.request
--- a/bergamotmill/standin/service.py
+++ b/bergamotmill/standin/service.py
@@ -1,11 +1,17 @@
 """Stand-ins for a plain HTTP service and for the KV offload store."""
 
 import asyncio
+from collections.abc import Callable
 import json
 
 from bergamotmill.helpers import http_server
 
 
+def _ignore_crash(standin: "ServiceStandIn") -> None:
+    """Does nothing: the service stays."""
+    del standin
+
+
 class ServiceStandIn:
     """A registry of records that lists the calls that it ran.
 
@@ -18,6 +24,9 @@
         crossed: whether answers to non-idempotent calls carry the id of
             another request.
         delay_s: delay before a call runs.
+        crash_mark: a call whose path or body contains it crashes the service;
+            empty for none.
+        on_crash: called when a call crashes the service.
     """
 
     def __init__(self, address: str, name: str = "registry"):
@@ -29,6 +38,8 @@
         self.hang = False
         self.crossed = False
         self.delay_s = 0.0
+        self.crash_mark = b""
+        self.on_crash: Callable[[ServiceStandIn], None] = _ignore_crash
 
     async def start(self) -> None:
         await self._server.start()
@@ -42,6 +53,10 @@
             self.lookups.append(request.path)
         if self.delay_s:
             await asyncio.sleep(self.delay_s)
+        content = request.path.encode() + request.body
+        if self.crash_mark and self.crash_mark in content:
+            self.on_crash(self)
+            return
         if request.method in ("GET", "HEAD"):
             exchange.respond_json(
                 200, {"record": request.path, "by": self._name}
--- a/bergamotmill/streams/context.py
+++ b/bergamotmill/streams/context.py
@@ -126,7 +126,10 @@
             chain = self.prefix_chain_of(request)
             parts = [f"{digest:016x}" for digest in chain.digests]
         return prompt_quarantine.make_prompt(
-            request.model.name, parts, request.customer.name
+            request.model.name,
+            parts,
+            request.customer.name,
+            (request.fingerprint,),
         )
 
     async def decide(
--- a/bergamotmill/streams/messages.py
+++ b/bergamotmill/streams/messages.py
@@ -14,6 +14,8 @@
     Attributes:
         deadline: time by which the response must be complete, in seconds of
             the monotonic clock.
+        fingerprint: name that all requests with the same path, customer and
+            body share.
         show_usage: whether a streaming caller requested the usage chunk.
     """
 
@@ -24,6 +26,7 @@
     adapter: str
     path: str
     body: Mapping[str, Any]
+    fingerprint: str
     stream: bool
     show_usage: bool
     deadline: float
--- a/bergamotmill/streams/relay.py
+++ b/bergamotmill/streams/relay.py
@@ -288,10 +288,15 @@
         status = 502
         if self._tracker.state is run_state.RunState.NOT_SENT:
             status = 503
+        code = refusal.CODE_PROMPT_QUARANTINED
+        reason = "engines ended under requests with this prompt"
+        if entry.is_whole_request:
+            code = refusal.CODE_REQUEST_QUARANTINED
+            reason = "engines ended under this request"
         return self._refuse(
             status,
-            refusal.CODE_PROMPT_QUARANTINED,
-            f"engines ended under requests with this prompt ({entry.key})",
+            code,
+            f"{reason} ({entry.key})",
             self._context.prompts.retry_after_s(entry),
         )
 
--- a/bergamotmill/upstream/errors.py
+++ b/bergamotmill/upstream/errors.py
@@ -19,6 +19,8 @@
         BROKEN: the response is malformed, too large or has an unexpected
             status.
         FAILED: the upstream returned a 5xx status and a retry is allowed.
+        QUARANTINED: upstreams ended under this request, which is held back;
+            this call sent nothing.
         WITHDRAWN: the router gave the attempt up, as parts of its prompt were
             quarantined.
     """
@@ -33,6 +35,7 @@
     BAD_REQUEST = "bad_request"
     BROKEN = "broken"
     FAILED = "failed"
+    QUARANTINED = "quarantined"
     WITHDRAWN = "withdrawn"
 
 
@@ -46,6 +49,8 @@
             unless the upstream reported that it ran nothing.
         status: HTTP status of the response, 0 when there was none.
         body: body of the error response.
+        retry_after_s: when the call may be sent again, in seconds; 0 if
+            unknown.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         ran: bool | None = None,
         status: int = 0,
         body: bytes = b"",
+        retry_after_s: float = 0.0,
     ):
         super().__init__(reason)
         self.failure = failure
@@ -63,3 +69,4 @@
         self.ran = sent if ran is None else ran
         self.status = status
         self.body = body
+        self.retry_after_s = retry_after_s
--- a/bergamotmill/upstream/plain/config.py
+++ b/bergamotmill/upstream/plain/config.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+from bergamotmill.routing import prompt_quarantine
+from bergamotmill.routing import request_fingerprint
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceCall:
@@ -22,6 +25,13 @@
     idempotent: bool
     timeout_s: float
 
+    def as_prompt(self, service: str) -> prompt_quarantine.Prompt:
+        """Returns what of the call may crash upstreams of a service."""
+        name = request_fingerprint.fingerprint(
+            (service, self.method, self.target, self.customer), self.body
+        )
+        return prompt_quarantine.make_prompt("", (), self.customer, (name,))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceResponse:
--- a/bergamotmill/upstream/plain/coordinator.py
+++ b/bergamotmill/upstream/plain/coordinator.py
@@ -5,14 +5,17 @@
 import random
 
 from bergamotmill import core
+from bergamotmill.control import quarantine
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
 from bergamotmill.helpers import run_state
+from bergamotmill.routing import prompt_quarantine
 from bergamotmill.routing import retry_budget
 from bergamotmill.upstream import drivers
 from bergamotmill.upstream import errors
 from bergamotmill.upstream.plain import config
 from bergamotmill.upstream.plain import const
+from bergamotmill.util import clock as clocks
 
 
 @drivers.SERVICES.register(const.DRIVER)
@@ -22,7 +25,7 @@
     A non-idempotent call goes to the next upstream only when it did not run:
     the connection could not be opened, or the upstream refused the call. It is
     sent on a new connection, as it would hang on an idle one that a middlebox
-    has dropped.
+    has dropped. A call under which upstreams end is held back.
     """
 
     def __init__(
@@ -30,8 +33,22 @@
         service: core.Service,
         data_centre: str,
         leaving: Callable[[], frozenset[str]],
+        requests: quarantine.Quarantine,
+        clock: clocks.Clock,
         rng: random.Random,
     ):
+        """Makes a client.
+
+        Args:
+            service: the service's entry in the configuration.
+            data_centre: data centre of this router.
+            leaving: returns the names of the upstreams that are leaving.
+            requests: holds back calls that crash upstreams.
+            clock: the clocks.
+            rng: randomizes the order of the upstreams.
+        """
+        self._requests = requests
+        self._clock = clock
         self._service = service
         self._data_centre = data_centre
         self._leaving = leaving
@@ -49,6 +66,13 @@
         """Closes idle connections."""
         self._pool.close()
 
+    def held_for_s(self, call: config.ServiceCall) -> float:
+        """Returns for how long a call is held back; 0 if it may be sent."""
+        entries = self._requests.holding(call.as_prompt(self._service.name))
+        if not entries or self._requests.is_trial_due(entries[0]):
+            return 0.0
+        return self._requests.retry_after_s(entries[0])
+
     async def call(
         self, call: config.ServiceCall, tracker: run_state.RunTracker
     ) -> config.ServiceResponse:
@@ -59,9 +83,20 @@
                 whether the call may have run.
         """
         upstreams = self._ordered_upstreams()
-        if call.idempotent and len(upstreams) > 1:
-            return await self._call_hedged(upstreams, call, tracker)
-        return await self._try_in_order(upstreams, call, tracker)
+        prompt = call.as_prompt(self._service.name)
+        admission = await self._requests.admit(prompt, self._has_spare())
+        if admission.held_by is not None:
+            raise errors.UpstreamError(
+                errors.Failure.QUARANTINED,
+                f"upstreams ended under this request ({admission.held_by.key})",
+                sent=False,
+                retry_after_s=self._requests.retry_after_s(admission.held_by),
+            )
+        if admission.trial_of or not call.idempotent or len(upstreams) < 2:
+            return await self._try_in_order(
+                upstreams, call, tracker, admission.trial_of
+            )
+        return await self._call_hedged(upstreams, call, tracker)
 
     async def _call_hedged(
         self,
@@ -112,7 +147,15 @@
         upstreams: list[core.ServiceUpstream],
         call: config.ServiceCall,
         tracker: run_state.RunTracker,
+        trial_of: str = "",
     ) -> config.ServiceResponse:
+        """Calls one upstream after the other until one responds.
+
+        Raises:
+            errors.UpstreamError: none responded, or none may be called any
+                more.
+        """
+        prompt = call.as_prompt(self._service.name)
         last_error: errors.UpstreamError | None = None
         for upstream in upstreams:
             try:
@@ -120,8 +163,14 @@
             except errors.UpstreamError as err:
                 last_error = err
                 self._eject(upstream)
+                if err.failure is errors.Failure.LOST:
+                    await self._note_loss(prompt, upstream)
                 if err.ran and not call.idempotent:
                     raise
+                if err.ran:
+                    trial_of = ""
+                if self._requests.holding(prompt, trial_of):
+                    raise
         if last_error is not None:
             raise last_error
         raise errors.UpstreamError(
@@ -130,6 +179,33 @@
             sent=False,
         )
 
+    async def _note_loss(
+        self,
+        prompt: prompt_quarantine.Prompt,
+        upstream: core.ServiceUpstream,
+    ) -> None:
+        """Records what a lost connection says of a call."""
+        if upstream.name in self._leaving():
+            return
+        period = int(self._clock.wall() / const.END_PERIOD_S)
+        await self._requests.note_loss(
+            prompt,
+            quarantine.LostAttempt(
+                prompt_quarantine.Crash(upstream.name, period),
+                None,
+                lambda: self._pool.is_refused(upstream.address),
+            ),
+        )
+
+    def _has_spare(self) -> bool:
+        """Whether an upstream remains if a call crashes one."""
+        now = asyncio.get_running_loop().time()
+        usable = (
+            self._ejected_until.get(upstream.name, 0.0) <= now
+            for upstream in self._service.upstreams
+        )
+        return sum(usable) > 1
+
     def _ordered_upstreams(self) -> list[core.ServiceUpstream]:
         """Returns the upstreams that are not leaving, in the order to try them.
 
@@ -213,6 +289,7 @@
                 ran=False,
             )
         tracker.mark_answered()
+        self._requests.note_answer(call.as_prompt(self._service.name))
         return config.ServiceResponse(
             head.status,
             head.get_header("content-type", "application/octet-stream"),
