Bench of the quarantine: fingerprints; fewer steps for each crash

Change: script/bench quarantine measures fingerprints and answers with them; entries whose ends have nothing in common with a part are skipped first.

--- a/bergamotmill/bench/quarantine.py
+++ b/bergamotmill/bench/quarantine.py
@@ -7,12 +7,14 @@
 
 from bergamotmill.control import quarantine_messages
 from bergamotmill.routing import prompt_quarantine
+from bergamotmill.routing import request_fingerprint
 
 MODEL = "daka510000"
 CUSTOMER = "sese880"
 BORN = 1_785_476_128_328
 LATER_S = 1e9
 CRASHES = 300
+BODY_BYTES = 65_536
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -37,6 +39,12 @@
     return prompt_quarantine.Crash(f"i-{index:010x}", BORN + index)
 
 
+def _fingerprint(number: int, body: bytes) -> str:
+    return request_fingerprint.fingerprint(
+        ("POST", f"/records/{number}", CUSTOMER), body
+    )
+
+
 def _mean_us(function, items) -> float:
     started = time.perf_counter()
     for item in items:
@@ -48,11 +56,21 @@
     state = prompt_quarantine.PromptQuarantine()
     prompts = [
         prompt_quarantine.make_prompt(
-            MODEL, (f"s{index % 40}", f"t{index % 1000}", f"f{index % 3000}")
+            MODEL,
+            (f"s{index % 40}", f"t{index % 1000}", f"f{index % 3000}"),
+            CUSTOMER,
+            (_fingerprint(index, b""), _fingerprint(index, b"x")),
         )
         for index in range(count)
     ]
+    body = bytes(BODY_BYTES)
     figures = {
+        "fingerprint_us": _mean_us(
+            lambda number: _fingerprint(number, b""), range(count)
+        ),
+        "fingerprint_of_64_kb_us": _mean_us(
+            lambda number: _fingerprint(number, body), range(count)
+        ),
         "answer_us": _mean_us(lambda p: state.record_answer(p, 1.0), prompts),
         "look_up_us": _mean_us(state.blocking, prompts),
     }
@@ -77,7 +95,9 @@
         # Spread over both windows.
         now = index / prompt_quarantine.MAX_PARTS_ANSWERED
         state.record_answer(
-            prompt_quarantine.make_prompt(MODEL, parts),
+            prompt_quarantine.make_prompt(
+                MODEL, parts, CUSTOMER, (_fingerprint(index, b""),)
+            ),
             now * prompt_quarantine.EVIDENCE_WINDOW_S / 2,
         )
     answers_bytes, _ = tracemalloc.get_traced_memory()
@@ -90,9 +110,9 @@
 
 
 def _measure_messages() -> dict[str, float]:
-    answers = {
-        f"{index:08x}": prompt_quarantine.Answers(3, True) for index in range(4)
-    }
+    names = [f"{index:08x}" for index in range(4)]
+    names += [_fingerprint(0, b""), _fingerprint(0, b"x")]
+    answers = dict.fromkeys(names, prompt_quarantine.Answers(3, True))
     (report,) = quarantine_messages.encode_crash_report(
         "front-osl-a-1", MODEL, _crash(0), answers
     )
@@ -115,4 +135,4 @@
 def show(result: dict[str, Any]) -> None:
     """Prints the figures, one a line."""
     for name, value in result.items():
-        print(f"{name:<18}{value:10.2f}")
+        print(f"{name:<24}{value:10.2f}")
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -402,9 +402,10 @@
         crashes = self._crashes.of(part, now)
         is_whole = request_fingerprint.is_fingerprint(name)
         for entry in self._entries.values():
+            if entry.contested or crashes.isdisjoint(entry.crashes):
+                continue
             is_own = entry.model == model and name in entry.parts
-            explains = is_whole or not entry.is_whole_request
-            if not is_own and explains and not entry.contested:
+            if not is_own and (is_whole or not entry.is_whole_request):
                 crashes -= entry.crashes
         return crashes
 
