--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -129,7 +129,11 @@
         return len(self._state.entries)
 
     def add_listener(self, listener: Listener) -> None:
-        """Calls the listener with each entry that comes into force."""
+        """Calls the listener with each entry that gets uncontested in force.
+
+        While an entry is contested, attempts under way may well be answered,
+        which ends it.
+        """
         self._listeners.append(listener)
 
     def holding(
@@ -402,10 +406,11 @@
 
     def _apply(self, entry: prompt_quarantine.Entry, source: str) -> bool:
         """Applies an entry from anywhere; False if it changes nothing."""
-        is_new = entry.key not in self._state.entries
+        known = self._state.entries.get(entry.key)
         if not self._state.apply(entry):
             return False
-        if is_new:
+        entry = self._state.entries.get(entry.key, entry)
+        if known is None or (known.contested and not entry.contested):
             decisions.record(
                 "part_quarantined",
                 quarantine=entry.key,
@@ -417,8 +422,9 @@
                 trials=entry.trials,
                 source=source,
             )
-            for listener in self._listeners:
-                listener(entry)
+            if not entry.contested:
+                for listener in self._listeners:
+                    listener(entry)
         return True
 
     def _clear(
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -625,7 +625,7 @@
         return sum(usable) > 1
 
     def _withdraw_attempts(self, entry: prompt_quarantine.Entry) -> None:
-        """Gives up attempts that would crash their engines, too."""
+        """Gives up attempts that would crash their upstreams, too."""
         for progress in list(self._unanswered.values()):
             withdrawn = progress.withdrawn
             if (
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -12,6 +12,7 @@
 import collections
 from collections.abc import Iterable, Mapping
 import dataclasses
+import itertools
 
 import xxhash
 
@@ -38,6 +39,9 @@
 # pause is drawn from the range, so that the trials of the two do not meet, and
 # each trial that fails doubles the next one.
 CONTESTED_TRIAL_PAUSES_S = (0.5, 4.0)
+# Replicas that end together, such as those of a data centre, end within this
+# time; a request that crashes one after the other needs longer.
+SAME_MOMENT_S = 0.01
 # Oldest are dropped first. A crash leaves evidence against the parts of at most
 # 64 prompts, the slots of a replica.
 MAX_ENTRIES = 256
@@ -268,6 +272,8 @@
         self._times: collections.OrderedDict[Part, dict[Crash, float]] = (
             collections.OrderedDict()
         )
+        # Answers since the first of the crashes.
+        self._answers_since: dict[Part, int] = {}
 
     def record(self, part: Part, crash: Crash, now: float) -> None:
         """Records that a replica ended under an attempt with a part."""
@@ -275,7 +281,20 @@
         times.setdefault(crash, now)
         self._times.move_to_end(part)
         if len(self._times) > MAX_PARTS_WITH_CRASHES:
-            self._times.popitem(last=False)
+            dropped, _ = self._times.popitem(last=False)
+            self._answers_since.pop(dropped, None)
+
+    def record_answer(self, part: Part) -> None:
+        """Counts an answer on a part that has crashes."""
+        if part in self._times:
+            since = self._answers_since
+            since[part] = since.get(part, 0) + 1
+
+    def answers_since(self, part: Part) -> int | None:
+        """Returns the answers since the first crash; None without one."""
+        if part not in self._times:
+            return None
+        return self._answers_since.get(part, 0)
 
     def of(self, part: Part, now: float) -> frozenset[Crash]:
         """Returns the crashes within the evidence window."""
@@ -286,6 +305,16 @@
             if now - at <= EVIDENCE_WINDOW_S
         )
 
+    def count_moments(self, part: Part, crashes: Iterable[Crash]) -> int:
+        """Counts crashes on a part, those at one moment as one."""
+        times = self._times[part]
+        at = sorted(times[crash] for crash in crashes)
+        apart = (
+            later - earlier > SAME_MOMENT_S
+            for earlier, later in itertools.pairwise(at)
+        )
+        return sum(apart) + bool(at)
+
     def parts(self) -> Iterable[Part]:
         """Returns the parts with evidence against them."""
         return self._times.keys()
@@ -297,6 +326,7 @@
             if now - max(times.values()) <= EVIDENCE_WINDOW_S:
                 return
             del self._times[part]
+            self._answers_since.pop(part, None)
 
 
 class PromptQuarantine:
@@ -345,6 +375,7 @@
             self._ever.record((prompt.model, name), now)
         for name in prompt.fingerprints:
             self._recent_requests.record((prompt.model, name), now)
+            self._crashes.record_answer((prompt.model, name))
         clearances = []
         for entry in self._entries_with(prompt):
             remaining = entry.parts - prompt.names
@@ -368,7 +399,10 @@
         """Returns the answers that this router has seen on a part."""
         if request_fingerprint.is_fingerprint(part[1]):
             recent = self._recent_requests.count(part, now)
-            return Answers(recent, recent > 0)
+            since = self._crashes.answers_since(part)
+            # One that was answered until it began to crash replicas may have
+            # become harmful with a change at the replicas.
+            return Answers(recent if since is None else since, recent > 0)
         return Answers(
             self._recent.count(part, now), self._ever.count(part, now) > 0
         )
@@ -463,7 +497,8 @@
             if entry_count >= MAX_ENTRIES_PER_CUSTOMER:
                 min_unanswered = 1
             answers = self._fleet_answers(part, now)
-            if is_suspect(len(crashes), answers, min_unanswered):
+            moments = self._crashes.count_moments(part, crashes)
+            if is_suspect(moments, answers, min_unanswered):
                 rank = (answers.recent, -len(crashes))
                 ranked.setdefault(rank, {})[name] = crashes
         return ranked[min(ranked)] if ranked else {}
--- a/tests/routing/test_prompt_quarantine.py
+++ b/tests/routing/test_prompt_quarantine.py
@@ -11,6 +11,8 @@
 
 MODEL = "drafter"
 WALL_S = 1_700_000_000.0
+# Crashes that are this far apart do not count as one.
+MOMENT_S = 2 * prompt_quarantine.SAME_MOMENT_S
 
 
 def prompt(*parts, customer="one"):
@@ -34,6 +36,7 @@
 
     def crash(self, number, *parts, customer="one"):
         """Records a crash and applies the entry that follows, if any."""
+        self.now += MOMENT_S
         lost = prompt(*parts, customer=customer)
         self.state.record_crash(lost, crash(number), self.now)
         entry = self.state.judge(lost, self.now, WALL_S + self.now)
@@ -66,6 +69,14 @@
                 self.crash(1, *parts)
                 self.assertEqual(self.crash(2, *parts).parts, {"bad"})
 
+    def test_crashes_at_one_moment_count_once(self):
+        self.answer("sys", "file")
+        lost = prompt("sys", "file", "new")
+        for number in range(5):
+            self.state.record_crash(lost, crash(number), self.now)
+        self.assertIsNone(self.state.judge(lost, self.now, WALL_S))
+        self.assertEqual(self.crash(6, "new").parts, {"new"})
+
     def test_same_crash_counts_once(self):
         for _ in range(5):
             self.assertIsNone(self.crash(1, "bad"))
@@ -156,6 +167,7 @@
 
     def test_entry_is_contested_if_another_prompt_explains_the_crashes(self):
         for number in (1, 2):
+            self.now += MOMENT_S
             self.state.record_crash(prompt("rare"), crash(number), self.now)
         self.crash(1, "bad")
         entry = self.crash(2, "bad")
@@ -192,6 +204,7 @@
 
     def test_trials_of_contested_entries_come_soon_until_one_is_cleared(self):
         for number in (1, 2):
+            self.now += MOMENT_S
             self.state.record_crash(prompt("rare"), crash(number), self.now)
         self.crash(1, "bad")
         bad = self.crash(2, "bad")
