--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -39,8 +39,8 @@
 # pause is drawn from the range, so that the trials of the two do not meet, and
 # each trial that fails doubles the next one.
 CONTESTED_TRIAL_PAUSES_S = (0.5, 4.0)
-# Replicas that end together, such as those of a data centre, end within this
-# time; a request that crashes one after the other needs longer.
+# Crashes of replicas that end together, such as those of a data centre, are
+# this close to each other. They count as one against what was answered before.
 SAME_MOMENT_S = 0.01
 # Oldest are dropped first. A crash leaves evidence against the parts of at most
 # 64 prompts, the slots of a replica.
@@ -497,8 +497,10 @@
             if entry_count >= MAX_ENTRIES_PER_CUSTOMER:
                 min_unanswered = 1
             answers = self._fleet_answers(part, now)
-            moments = self._crashes.count_moments(part, crashes)
-            if is_suspect(moments, answers, min_unanswered):
+            count = len(crashes)
+            if answers.ever:
+                count = self._crashes.count_moments(part, crashes)
+            if is_suspect(count, answers, min_unanswered):
                 rank = (answers.recent, -len(crashes))
                 ranked.setdefault(rank, {})[name] = crashes
         return ranked[min(ranked)] if ranked else {}
--- a/tests/routing/test_prompt_quarantine.py
+++ b/tests/routing/test_prompt_quarantine.py
@@ -71,11 +71,16 @@
 
     def test_crashes_at_one_moment_count_once(self):
         self.answer("sys", "file")
-        lost = prompt("sys", "file", "new")
+        lost = prompt("sys", "file")
         for number in range(5):
             self.state.record_crash(lost, crash(number), self.now)
         self.assertIsNone(self.state.judge(lost, self.now, WALL_S))
-        self.assertEqual(self.crash(6, "new").parts, {"new"})
+
+    def test_crashes_at_one_moment_count_for_parts_without_answers(self):
+        lost = prompt("new")
+        for number in range(2):
+            self.state.record_crash(lost, crash(number), self.now)
+        self.assertIsNotNone(self.state.judge(lost, self.now, WALL_S))
 
     def test_same_crash_counts_once(self):
         for _ in range(5):
