--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -38,6 +38,10 @@
 GOSSIP_ENTRIES = 4
 # Entries that a router gets at once from a peer that it asks for documents.
 MAX_ENTRIES_FOR_PEER = 64
+# Time by which a trial comes later while only one upstream of the service is
+# usable: others are usually back by then, and a service that has only one must
+# not hold a sound request back for ever.
+LAST_UPSTREAM_DELAY_S = 300.0
 # Shortest time after which callers are told to come back.
 MIN_RETRY_AFTER_S = 1.0
 
@@ -156,6 +160,7 @@
         prompt: prompt_quarantine.Prompt,
         may_be_trial: bool,
         trial_of: str = "",
+        has_spare: bool = True,
     ) -> Admission:
         """Decides whether a request with a prompt may be sent.
 
@@ -164,6 +169,7 @@
             may_be_trial: whether it may be sent in spite of an entry whose next
                 trial is due.
             trial_of: key of the entry of which it is the trial already.
+            has_spare: whether its service keeps an upstream if it crashes one.
         """
         entries = self.holding(prompt, trial_of)
         if not entries:
@@ -172,19 +178,29 @@
         if (
             len(entries) == 1
             and may_be_trial
+            and self.is_trial_due(entry, has_spare)
             and await self._begin_trial(entry)
         ):
             return Admission(None, entry.key)
         return Admission(entry)
 
-    def is_trial_due(self, entry: prompt_quarantine.Entry) -> bool:
+    def is_trial_due(
+        self, entry: prompt_quarantine.Entry, has_spare: bool = True
+    ) -> bool:
         """Whether a request may be sent in spite of an entry, as a trial."""
-        return self._clock.wall() >= self._state.trial_at(entry)
+        return self._time_to_trial_s(entry, has_spare) <= 0
 
-    def retry_after_s(self, entry: prompt_quarantine.Entry) -> float:
+    def retry_after_s(
+        self, entry: prompt_quarantine.Entry, has_spare: bool = True
+    ) -> float:
         """Returns after how many seconds a request held back may be tried."""
-        left_s = self._state.trial_at(entry) - self._clock.wall()
-        return max(MIN_RETRY_AFTER_S, left_s)
+        return max(MIN_RETRY_AFTER_S, self._time_to_trial_s(entry, has_spare))
+
+    def _time_to_trial_s(
+        self, entry: prompt_quarantine.Entry, has_spare: bool
+    ) -> float:
+        delay_s = 0.0 if has_spare else LAST_UPSTREAM_DELAY_S
+        return self._state.trial_at(entry) + delay_s - self._clock.wall()
 
     def note_answer(self, prompt: prompt_quarantine.Prompt) -> None:
         """Records that a replica answered a prompt."""
@@ -369,8 +385,6 @@
 
         Only one router of the fleet may, and only while the store answers.
         """
-        if not self.is_trial_due(entry):
-            return False
         key = self._links.key_prefix + entry.key
         revision = self._links.revision(key)
         if not revision:
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -599,9 +599,12 @@
         self, progress: call_progress.Progress, service: str
     ) -> messages.Rejection | None:
         """Rejects a call that crashes upstreams, unless it is a trial."""
-        may_be_trial = not progress.attempts_sent and self._has_spare(service)
+        has_spare = self._has_spare(service)
         admission = await self._prompts.admit(
-            progress.prompt, may_be_trial, progress.trial_of
+            progress.prompt,
+            not progress.attempts_sent,
+            progress.trial_of,
+            has_spare,
         )
         progress.trial_of = admission.trial_of
         entry = admission.held_by
@@ -612,7 +615,7 @@
         return self._rejection_of(
             progress,
             f"{subject}_quarantined",
-            self._prompts.retry_after_s(entry),
+            self._prompts.retry_after_s(entry, has_spare),
         )
 
     def _has_spare(self, service: str) -> bool:
--- a/bergamotmill/front/callers.py
+++ b/bergamotmill/front/callers.py
@@ -324,6 +324,9 @@
             try:
                 response = await client.call(call, tracker)
             except errors.UpstreamError as err:
+                if err.failure is errors.Failure.QUARANTINED and not attempt:
+                    self._refuse(exchange, _held_back(err.retry_after_s))
+                    return
                 held_for_s = client.held_for_s(call)
                 if attempt + 1 < IDEMPOTENT_ATTEMPTS and not held_for_s:
                     continue
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -138,7 +138,8 @@
     """Answers on prompts with a part.
 
     Attributes:
-        recent: number within the evidence window.
+        recent: number within the evidence window; for a request, since its
+            first crash.
         ever: whether there was one within the memory window.
     """
 
--- a/bergamotmill/upstream/plain/coordinator.py
+++ b/bergamotmill/upstream/plain/coordinator.py
@@ -69,9 +69,10 @@
     def held_for_s(self, call: config.ServiceCall) -> float:
         """Returns for how long a call is held back; 0 if it may be sent."""
         entries = self._requests.holding(call.as_prompt(self._service.name))
-        if not entries or self._requests.is_trial_due(entries[0]):
+        has_spare = self._has_spare()
+        if not entries or self._requests.is_trial_due(entries[0], has_spare):
             return 0.0
-        return self._requests.retry_after_s(entries[0])
+        return self._requests.retry_after_s(entries[0], has_spare)
 
     async def call(
         self, call: config.ServiceCall, tracker: run_state.RunTracker
@@ -84,13 +85,18 @@
         """
         upstreams = self._ordered_upstreams()
         prompt = call.as_prompt(self._service.name)
-        admission = await self._requests.admit(prompt, self._has_spare())
+        has_spare = self._has_spare()
+        admission = await self._requests.admit(
+            prompt, True, has_spare=has_spare
+        )
         if admission.held_by is not None:
             raise errors.UpstreamError(
                 errors.Failure.QUARANTINED,
                 f"upstreams ended under this request ({admission.held_by.key})",
                 sent=False,
-                retry_after_s=self._requests.retry_after_s(admission.held_by),
+                retry_after_s=self._requests.retry_after_s(
+                    admission.held_by, has_spare
+                ),
             )
         if admission.trial_of or not call.idempotent or len(upstreams) < 2:
             return await self._try_in_order(
--- a/tests/front/test_crashing_requests.py
+++ b/tests/front/test_crashing_requests.py
@@ -129,6 +129,26 @@
 
         self.run_cluster(scenario, cluster.Sizes(services=5))
 
+    def test_call_is_tried_late_at_the_only_service(self):
+        async def scenario():
+            self.set_service_crashes()
+            for _ in range(3):
+                await self.look_up(MARK)
+                await asyncio.sleep(5.0)
+            crashes = len(self.cluster.service_crashes)
+            self.assertLessEqual(crashes, MAX_CRASHES)
+            await asyncio.sleep(60.0)
+            response = await self.look_up(MARK)
+            self.assertEqual(response.status, 503)
+            self.assertGreater(int(response.headers[b"retry-after"]), 100)
+            self.assertEqual(len(self.cluster.service_crashes), crashes)
+            self.set_service_crashes(b"")
+            await asyncio.sleep(300.0)
+            response = await self.look_up(MARK)
+            self.assertEqual(response.status, 200)
+
+        self.run_cluster(scenario, cluster.Sizes(services=1))
+
     def test_services_that_end_by_themselves_hold_nothing_back(self):
         async def scenario():
             for standin in self.cluster.services.values():
