--- a/tests/bench/test_process_soak.py
+++ b/tests/bench/test_process_soak.py
@@ -13,6 +13,8 @@
 from bergamotmill.bench.process_soak import observations
 from bergamotmill.bench.process_soak import promises
 
+# Where the logs of a run with violations are kept.
+KEPT_LOGS = "build/soak"
 SOAK_START_TIMEOUT_S = 30.0
 SOAK_END_TIMEOUT_S = 30.0
 
@@ -294,7 +296,7 @@
         parser = argparse.ArgumentParser()
         process_soak.add_arguments(parser)
         arguments = parser.parse_args(
-            ["--seed", "3", "--each", "--routers", "3"]
+            ["--seed", "3", "--each", "--routers", "3", "--keep", KEPT_LOGS]
         )
         arguments.json = True
         result = process_soak.run(arguments)
--- a/tests/dispatch/test_crashing_prompts.py
+++ b/tests/dispatch/test_crashing_prompts.py
@@ -8,6 +8,7 @@
 from bergamotmill.standin.platform import fleet
 from bergamotmill.standin.platform import store
 from tests import platform_case
+from tests.dispatch import disturbances
 
 CRASHING = "c0ffee"
 # The platform's limits: from this time after the fifth crash, at most three
@@ -495,67 +496,9 @@
         self.run_fleet(scenario)
 
 
-class RandomDisturbancesTest(CrashingLoad):
+class RandomDisturbancesTest(disturbances.Disturbances, CrashingLoad):
     """Crashing prompts while other things fail, drawn by a seed."""
 
-    async def silence_store(self, rng):
-        modes = [mode for mode in store.Mode if mode is not store.Mode.SERVING]
-        self.fleet.store.mode = rng.choice(modes)
-        await asyncio.sleep(rng.uniform(2.0, 7.0))
-        self.fleet.store.mode = store.Mode.SERVING
-
-    async def restart_some(self, rng):
-        indices = sorted(self.fleet.routers)
-        for index in rng.sample(indices, rng.randint(1, 3)):
-            await self.restart(index, rng.uniform(0.2, 1.5))
-
-    async def restart_all(self, rng):
-        await asyncio.gather(
-            *(
-                self.restart(index, rng.uniform(0.2, 1.5))
-                for index in sorted(self.fleet.routers)
-            )
-        )
-
-    async def restart(self, index, pause_s):
-        if index not in self.fleet.routers:
-            return
-        await self.fleet.crash_router(index)
-        await asyncio.sleep(pause_s)
-        await self.fleet.start_router(index)
-
-    async def lose_messages(self, rng):
-        self.fleet.bus.loss_rate = rng.uniform(0.1, 0.5)
-        await asyncio.sleep(rng.uniform(2.0, 8.0))
-        self.fleet.bus.loss_rate = 0.0
-
-    async def cut_data_centre(self, rng):
-        cut = rng.randrange(self.fleet.sizes.data_centres)
-        for index in range(self.fleet.sizes.routers):
-            if index % self.fleet.sizes.data_centres != cut:
-                continue
-            host = fleet.router_host(index)
-            self.network.partition(host, fleet.STORE_HOST)
-            for other in range(self.fleet.sizes.routers):
-                if other % self.fleet.sizes.data_centres != cut:
-                    self.network.partition(host, fleet.router_host(other))
-        await asyncio.sleep(rng.uniform(2.0, 6.0))
-        self.network.heal()
-
-    async def end_engines(self, rng):
-        for _ in range(rng.randint(1, 4)):
-            engines = [s for s in self.fleet.replicas.values() if s.model]
-            self.fleet.crash_for_a_time(rng.choice(engines))
-            await asyncio.sleep(rng.uniform(0.0, 1.5))
-
-    async def change_weights(self, rng):
-        for version in (2, 3):
-            await self.fleet.store.write(
-                const.PREFIX_WEIGHTS + fleet.MODEL,
-                {"model": fleet.MODEL, "version": version},
-            )
-            await asyncio.sleep(rng.uniform(0.5, 4.0))
-
     async def play_after_restart(self, seed):
         """Returns the answers to sound requests 10 s after all restarted."""
         rng = random.Random(seed)
@@ -590,18 +533,7 @@
     async def play_random(self, seed):
         """Plays one seed; returns the engines that prompts have ended."""
         rng = random.Random(seed)
-        disturbances = rng.sample(
-            [
-                self.silence_store,
-                self.restart_some,
-                self.restart_all,
-                self.lose_messages,
-                self.cut_data_centre,
-                self.end_engines,
-                self.change_weights,
-            ],
-            rng.randint(2, 3),
-        )
+        drawn = self.draw_disturbances(rng)
         self.set_crashing_parts(CRASHING)
         self.crashing_parts = lambda rng: (
             f"sys:512,file{rng.randrange(12)}:90,{CRASHING}:300,"
@@ -626,7 +558,7 @@
             )
         )
         await asyncio.sleep(rng.uniform(0.0, 2.0))
-        await asyncio.gather(*(disturb(rng) for disturb in disturbances))
+        await asyncio.gather(*(disturb(rng) for disturb in drawn))
         calm_at = self.now() + CONTACT_S
         await crashing
         until = self.now()
--- a/tests/dispatch/test_crashing_requests.py
+++ b/tests/dispatch/test_crashing_requests.py
@@ -8,6 +8,7 @@
 from bergamotmill.standin.platform import fleet
 from bergamotmill.standin.platform import store
 from tests import platform_case
+from tests.dispatch import disturbances
 
 CRASH_MARK = b"crash:"
 # The platform's limit: from this time after the third crash under a request, it
@@ -85,8 +86,12 @@
                 group.create_task(send(results, rng))
         return results
 
-    def late_arrivals(self, until=float("inf")):
-        """Returns how often each crashing request arrived beyond the limit."""
+    def late_arrivals(self, calm_at=0.0):
+        """Returns how often each crashing request arrived beyond the limit.
+
+        Args:
+            calm_at: time from which arrivals count.
+        """
         runs = {}
         for run in self.fleet.runs():
             if CRASH_MARK in run.body:
@@ -98,11 +103,12 @@
             )
             if len(ends) >= CRASHES_UNTIL_LIMIT:
                 limit_at = ends[CRASHES_UNTIL_LIMIT - 1] + CONTACT_S
-                late[body] = sum(limit_at < r.began < until for r in found)
+                limit_at = max(limit_at, calm_at)
+                late[body] = sum(run.began > limit_at for run in found)
         return late
 
-    def assert_few_reach_replicas(self):
-        for body, count in self.late_arrivals().items():
+    def assert_few_reach_replicas(self, calm_at=0.0):
+        for body, count in self.late_arrivals(calm_at).items():
             self.assertLessEqual(count, MAX_ARRIVALS_AFTER, body)
 
     def assert_sound_requests_are_served(self, results, until):
@@ -365,6 +371,44 @@
         self.run_fleet(scenario)
 
 
+class RandomDisturbancesTest(disturbances.Disturbances, CrashingRequestLoad):
+    """A crashing request while other things fail, drawn by a seed."""
+
+    async def play_random(self, seed):
+        rng = random.Random(seed)
+        drawn = self.draw_disturbances(rng)
+        self.crashing_route = rng.choice(("lookup", "filing", *PROMPT_ROUTES))
+        if self.crashing_route in PROMPT_ROUTES:
+            self.routes = PROMPT_ROUTES
+        is_long = self.crashing_route == "review"
+        self.set_crashing(crash_after_events=20 if is_long else 0)
+        sound = asyncio.create_task(
+            self.play(30.0, SOUND_PER_S, self.send_sound, rng)
+        )
+        await asyncio.sleep(4.0)
+        crashing = asyncio.create_task(
+            self.play(26.0, CRASHING_PER_S, self.send_crashing, rng)
+        )
+        await asyncio.sleep(rng.uniform(0.0, 2.0))
+        await asyncio.gather(*(disturb(rng) for disturb in drawn))
+        calm_at = self.now() + CONTACT_S
+        await crashing
+        results = await sound
+        self.assert_few_reach_replicas(calm_at)
+        after = [a.status == 200 for at, a in results if at > calm_at]
+        self.assertGreaterEqual(sum(after) / len(after), MIN_SERVED_RATIO)
+
+    def test_limit_is_kept_beside_other_faults(self):
+        for seed in (5, 30):
+            with self.subTest(seed):
+                self.run_fleet(
+                    lambda seed=seed: self.play_random(seed),
+                    routers=7,
+                    engines=8,
+                    services=8,
+                )
+
+
 class OtherEndsTest(CrashingRequestLoad):
     def test_replicas_that_end_by_themselves_hold_nothing_back(self):
         self.routes = ("lookup", "filing", *PROMPT_ROUTES)
