--- a/bergamotmill/bench/quarantine.py
+++ b/bergamotmill/bench/quarantine.py
@@ -5,6 +5,7 @@
 import tracemalloc
 from typing import Any
 
+from bergamotmill.bench import quarantine_fleet
 from bergamotmill.control import quarantine_messages
 from bergamotmill.routing import prompt_quarantine
 from bergamotmill.routing import request_fingerprint
@@ -20,6 +21,13 @@
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Adds the command's options."""
     parser.add_argument("--prompts", type=int, default=20_000)
+    parser.add_argument("--routers", type=int, default=195)
+    parser.add_argument(
+        "--causes",
+        type=int,
+        default=100,
+        help="parts, and as many requests, that crash replicas in the fleet",
+    )
 
 
 def _entry(number: int, crashes: int) -> prompt_quarantine.Entry:
@@ -129,6 +137,9 @@
         **_measure_times(arguments.prompts),
         **_measure_memory(),
         **_measure_messages(),
+        **quarantine_fleet.FleetBench(
+            arguments.routers, arguments.causes
+        ).run(),
     }
 
 
