--- a/bergamotmill/bench/slopes.py
+++ b/bergamotmill/bench/slopes.py
@@ -94,7 +94,8 @@
                 "a:1",
                 "a:2",
                 "dc",
-            )
+            ),
+            "vm-0",
         )
 
     def relist() -> object:
--- a/bergamotmill/control/membership.py
+++ b/bergamotmill/control/membership.py
@@ -18,6 +18,7 @@
 from bergamotmill.control import const
 from bergamotmill.control import members
 from bergamotmill.control import peers as peer_links
+from bergamotmill.helpers import decisions
 from bergamotmill.proto import peer_pb2
 from bergamotmill.storage.vm_list import config as vm_config
 from bergamotmill.storage.vm_list import const as vm_const
@@ -268,7 +269,7 @@
             return False
         reply = pinged.ok()
         self._record_contact(reply.sender, reply.release_number)
-        self._merge_updates(reply.updates)
+        self._merge_updates(reply.updates, reply.sender.name)
         return reply.relay_answered if relay_to else True
 
     async def on_ping(
@@ -276,7 +277,7 @@
     ) -> peer_pb2.PingReply:
         """Answers a probe, after probing `relay_to` if it is set."""
         self._record_contact(request.sender, request.release_number)
-        self._merge_updates(request.updates)
+        self._merge_updates(request.updates, request.sender.name)
         relay_answered = False
         if request.relay_to:
             relay_answered = await self._ping(request.relay_to, "")
@@ -296,43 +297,61 @@
         self._reported_releases[member.name] = release_number
         known = self._members.get(member.name)
         if known is None or member.precedence() > known.precedence():
-            self._store_member(member)
+            self._store_member(member, member.name)
         if release_number > self._release_number():
             self._newer_release_callback(member.name, release_number)
 
-    def _merge_updates(self, updates: Iterable[peer_pb2.Member]) -> None:
+    def _merge_updates(
+        self, updates: Iterable[peer_pb2.Member], source: str
+    ) -> None:
         for update in updates:
-            self._merge_update(members.from_proto(update))
+            self._merge_update(members.from_proto(update), source)
 
-    def _merge_update(self, update: members.Member) -> None:
+    def _merge_update(self, update: members.Member, source: str) -> None:
         if update.name == self._own.name:
-            self._refute_suspicion(update)
+            self._refute_suspicion(update, source)
             return
         known = self._members.get(update.name)
         if known is None:
             if update.state is State.ALIVE:
-                self._store_member(update)
+                self._store_member(update, source)
             return
         if update.precedence() > known.precedence():
-            self._store_member(update)
+            self._store_member(update, source)
 
-    def _refute_suspicion(self, update: members.Member) -> None:
+    def _refute_suspicion(self, update: members.Member, source: str) -> None:
         own = self._own
         if update.incarnation != own.incarnation or update.state is State.ALIVE:
             return
         if update.sequence >= own.sequence and update.state is not own.state:
             self._own = dataclasses.replace(own, sequence=update.sequence + 1)
-            self._store_member(self._own)
+            decisions.record(
+                "suspicion_refuted",
+                state=update.state.name.lower(),
+                sequence=self._own.sequence,
+                source=source,
+            )
+            self._store_member(self._own, self._own.name)
 
     def _set_own_state(self, state: State) -> None:
         own = self._own
         self._own = dataclasses.replace(
             own, state=state, sequence=own.sequence + 1
         )
-        self._store_member(self._own)
+        self._store_member(self._own, own.name)
 
-    def _store_member(self, member: members.Member) -> None:
+    def _store_member(self, member: members.Member, source: str) -> None:
         known = self._members.get(member.name)
+        if known is None or _serving_state(known) != _serving_state(member):
+            decisions.record(
+                "member",
+                member=member.name,
+                state=member.state.name.lower(),
+                before="" if known is None else known.state.name.lower(),
+                incarnation=member.incarnation,
+                sequence=member.sequence,
+                source=source,
+            )
         self._members[member.name] = member
         if member.state is State.SUSPECT:
             self._suspected_since.setdefault(member.name, self._now())
@@ -356,7 +375,9 @@
             return
         if member.incarnation == 0:
             return
-        self._store_member(dataclasses.replace(member, state=State.SUSPECT))
+        self._store_member(
+            dataclasses.replace(member, state=State.SUSPECT), "probe"
+        )
 
     def _expire_suspicions(self) -> None:
         now = self._now()
@@ -366,12 +387,8 @@
             member = self._members.get(name)
             self._suspected_since.pop(name, None)
             if member is not None and member.state is State.SUSPECT:
-                loguru.logger.warning(
-                    "membership: suspect {} did not answer and is marked dead.",
-                    name,
-                )
                 self._store_member(
-                    dataclasses.replace(member, state=State.DEAD)
+                    dataclasses.replace(member, state=State.DEAD), "timeout"
                 )
 
     def _remove_departed(self) -> None:
