--- a/bergamotmill/standin/platform/fleet.py
+++ b/bergamotmill/standin/platform/fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextvars
 import dataclasses
+import json
 import random
 from typing import Any
 
@@ -386,6 +387,21 @@
             first_byte_s,
         )
 
+    async def resolve(self, router: int) -> list[str]:
+        """Returns the router addresses that a router's directory names."""
+        pool = http_client.Pool()
+        try:
+            conn = await pool.acquire(f"{router_host(router)}:82", True)
+            await conn.request(
+                "GET", f"{const.PATH_RESOLVE}?name=x&zone=dc-0", [], b""
+            )
+            received = b""
+            while data := await conn.read():
+                received += data
+        finally:
+            pool.close()
+        return json.loads(received)["addresses"]
+
     def runs(self, request_id: str = "") -> list[replica.Run]:
         """Returns the runs of one request, or of all requests."""
         return [
--- a/tests/platform_case.py
+++ b/tests/platform_case.py
@@ -10,10 +10,10 @@
 class PlatformCase(virtual.VirtualCase):
     """Runs a coroutine against a small fleet on a virtual clock."""
 
-    def run_fleet(self, scenario, **sizes):
+    def run_fleet(self, scenario, seed=3, **sizes):
         async def main():
             self.fleet = fleet.PlatformFleet(
-                self.network, random.Random(3), fleet.Sizes(**sizes)
+                self.network, random.Random(seed), fleet.Sizes(**sizes)
             )
             await self.fleet.start()
             try:
