--- a/bergamotmill/bench/__main__.py
+++ b/bergamotmill/bench/__main__.py
@@ -10,6 +10,7 @@
 from bergamotmill.bench import decision
 from bergamotmill.bench import dispatch
 from bergamotmill.bench import limits
+from bergamotmill.bench import membership
 from bergamotmill.bench import policy
 from bergamotmill.bench import process_soak
 from bergamotmill.bench import processes
@@ -24,6 +25,7 @@
     "dispatch": dispatch,
     "control": control,
     "limits": limits,
+    "membership": membership,
     "slopes": slopes,
     "processes": processes,
     "soak": soak,
--- a/bergamotmill/bench/slopes.py
+++ b/bergamotmill/bench/slopes.py
@@ -65,7 +65,11 @@
         for index in range(routers)
     )
     address_book = addresses.RouterSelector(
-        lambda: alive, 10.0, lambda name: "", random.Random(1)
+        lambda: alive,
+        lambda name: True,
+        10.0,
+        lambda name: "",
+        random.Random(1),
     )
     customer = core.Customer("customer")
 
--- a/bergamotmill/control/members.py
+++ b/bergamotmill/control/members.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import xxhash
+
 from bergamotmill.proto import peer_pb2
 
 
@@ -34,6 +36,17 @@
     front_address: str
     data_centre: str
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the router has been heard of and is not suspected."""
+        return self.state is MemberState.ALIVE and self.incarnation > 0
+
+    def digest(self) -> int:
+        """Returns 64 bits that identify this incarnation of the router."""
+        return xxhash.xxh3_64_intdigest(
+            f"{self.name} {self.incarnation}".encode()
+        )
+
     def precedence(self) -> tuple[int, int, int]:
         """Returns the sort key of updates about a member; the highest wins."""
         return (self.incarnation, self.sequence, int(self.state))
--- a/bergamotmill/control/membership.py
+++ b/bergamotmill/control/membership.py
@@ -1,14 +1,16 @@
-"""SWIM-style failure detection and gossip membership of the routers.
+"""SWIM-style gossip membership of the routers.
 
-In each round a router probes one other router, mostly in its own data centre.
-If the probe fails, other routers probe the target on its behalf before it is
-marked as suspect. Membership updates are piggybacked on probes and their
-replies. A suspected member refutes the suspicion with a higher sequence
-number. The cost per router does not grow with the size of the fleet.
+In each round a router probes one other router, mostly in its own data centre;
+membership updates are piggybacked on probes and their replies. A suspected
+member refutes the suspicion with a higher sequence number. The cost per router
+does not grow with the size of the fleet.
+
+Which routers are alive is decided by `control/liveness.py`; the rounds here
+repair what its messages have missed.
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 import dataclasses
 import math
 import random
@@ -52,7 +54,17 @@
         self._round_number = 0
         self._listed_names: set[str] = set()
         self._listed_leaving: frozenset[str] = frozenset()
+        self._isolated = False
+        # None if it has to be computed again.
+        self._alive_digest: int | None = None
+        self._alive_digest_at = now()
         self._listeners: list[Callable[[], None]] = []
+        self._change_callback: Callable[[members.Member], None] = (
+            lambda member: None
+        )
+        self._contact_callback: Callable[[str], None] = lambda name: None
+        self._verify: Callable[[str], Awaitable[bool]] | None = None
+        self._difference_callback: Callable[[str], None] = lambda name: None
         self._newer_release_callback: Callable[[str, int], None] = (
             lambda name, number: None
         )
@@ -72,6 +84,11 @@
         """The release number that each router last reported."""
         return self._reported_releases
 
+    @property
+    def own_release_number(self) -> int:
+        """The release number of this router."""
+        return self._release_number()
+
     def listen(self, listener: Callable[[], None]) -> None:
         """Registers a listener for changes of the set of serving routers."""
         self._listeners.append(listener)
@@ -82,6 +99,62 @@
         """Registers the callback for a peer that reports a newer release."""
         self._newer_release_callback = callback
 
+    def set_liveness_callbacks(
+        self,
+        on_change: Callable[[members.Member], None],
+        on_contact: Callable[[str], None],
+        verify: Callable[[str], Awaitable[bool]],
+        on_difference: Callable[[str], None],
+    ) -> None:
+        """Connects the component that decides which routers are alive.
+
+        Args:
+            on_change: called with each member that starts or stops serving.
+            on_contact: called with the name of each router that is heard.
+            verify: checks a router that did not answer a probe; returns
+                whether it is alive.
+            on_difference: called with the name of a router that disagrees on
+                who is alive, though nothing has changed for a time.
+        """
+        self._change_callback = on_change
+        self._contact_callback = on_contact
+        self._verify = verify
+        self._difference_callback = on_difference
+
+    def alive_digest(self) -> peer_pb2.AliveDigest:
+        """Returns a digest of the members that count as alive."""
+        if self._alive_digest is None:
+            self._alive_digest = 0
+            for member in self._members.values():
+                if member.is_serving:
+                    self._alive_digest ^= member.digest()
+        age_s = self._now() - self._alive_digest_at
+        return peer_pb2.AliveDigest(
+            digest=self._alive_digest,
+            age_ms=int(min(age_s, const.FORGET_DEAD_S) * 1000),
+        )
+
+    def compare_alive(self, name: str, other: peer_pb2.AliveDigest) -> None:
+        """Compares another router's digest with the own one."""
+        own = self.alive_digest()
+        settled_ms = const.SETTLED_S * 1000
+        if other.digest != own.digest and (
+            min(own.age_ms, other.age_ms) >= settled_ms
+        ):
+            self._difference_callback(name)
+
+    def set_isolated(self, isolated: bool) -> None:
+        """Sets whether this router hears no other one.
+
+        It cannot tell then whether the others are dead or it is cut off. None
+        of them counts as alive, and none is suspected.
+        """
+        if isolated == self._isolated:
+            return
+        self._isolated = isolated
+        decisions.record("isolated", isolated=isolated)
+        self._on_serving_changed()
+
     def alive(self, data_centre: str = "") -> tuple[members.Member, ...]:
         """Returns the alive routers of one data centre, or of all.
 
@@ -93,10 +166,10 @@
             serving = tuple(
                 member
                 for member in self._members.values()
-                if member.state is State.ALIVE
-                and member.incarnation > 0
+                if member.is_serving
                 and member.name not in self._listed_leaving
                 and (not data_centre or member.data_centre == data_centre)
+                and (not self._isolated or member.name == self._own.name)
             )
             self._alive_cache[data_centre] = serving
         return serving
@@ -169,14 +242,10 @@
         names = [name for name in self._members if name != self._own.name]
         self._rng.shuffle(names)
         await asyncio.gather(
-            *(self.probe(name) for name in names[: const.JOIN_PEERS])
-        )
-
-    async def announce(self) -> None:
-        """Sends this router's state at once to some other routers."""
-        names = self.other_names()
-        await asyncio.gather(
-            *(self._ping(name, "") for name in names[: const.JOIN_PEERS])
+            *(
+                self.ping(name, all_members=index < const.SYNC_PEERS)
+                for index, name in enumerate(names[: const.JOIN_PEERS])
+            )
         )
 
     async def run(self) -> None:
@@ -192,8 +261,12 @@
         """Expires old suspicions and probes one router."""
         self._expire_suspicions()
         name = self._select_target()
-        if name:
-            await self.probe(name)
+        if not name or await self.ping(name):
+            return
+        member = self._members.get(name)
+        is_serving = member is not None and member.is_serving
+        if is_serving and self._verify is not None:
+            await self._verify(name)
 
     def _select_target(self) -> str:
         self._round_number += 1
@@ -231,37 +304,27 @@
             return "near"
         return "far"
 
-    async def probe(self, name: str) -> bool:
-        """Probes a router directly, then through other routers.
+    async def ping(
+        self, name: str, relay_to: str = "", all_members: bool = False
+    ) -> bool:
+        """Probes a router, and exchanges membership updates.
 
-        Marks the router as suspect and returns False when neither succeeds.
-        """
-        for _ in range(const.PROBE_ATTEMPTS):
-            if await self._ping(name, ""):
-                return True
-        member = self._members.get(name)
-        if member is None or member.state is State.DEAD:
-            return False
-        relays = [other.name for other in self.alive() if other.name != name]
-        relays = [relay for relay in relays if relay != self._own.name]
-        self._rng.shuffle(relays)
-        relay_results = await asyncio.gather(
-            *(
-                self._ping(relay, name)
-                for relay in relays[: const.INDIRECT_PROBES]
-            )
-        )
-        if any(relay_results):
-            return True
-        self._suspect(name)
-        return False
+        Args:
+            name: the router to call.
+            relay_to: the router to probe through it; empty for itself.
+            all_members: whether to request all that it knows. Members that it
+                does not know are verified.
 
-    async def _ping(self, name: str, relay_to: str) -> bool:
+        Returns:
+            Whether the router that was to be probed has answered.
+        """
         request = peer_pb2.PingRequest(
             sender=self._own.to_proto(),
             updates=self._next_updates(name),
             release_number=self._release_number(),
             relay_to=relay_to,
+            all_members=all_members,
+            alive=self.alive_digest(),
         )
         timeout = const.PROBE_TIMEOUT_S * (2 if relay_to else 1)
         pinged = await self._peers.call(name, "Ping", request, timeout)
@@ -269,23 +332,53 @@
             return False
         reply = pinged.ok()
         self._record_contact(reply.sender, reply.release_number)
-        self._merge_updates(reply.updates, reply.sender.name)
+        self._merge_updates(
+            reply.updates, reply.sender.name, spread=not all_members
+        )
+        if all_members:
+            await self._verify_others(reply)
+        else:
+            self.compare_alive(reply.sender.name, reply.alive)
         return reply.relay_answered if relay_to else True
 
+    async def _verify_others(self, reply: peer_pb2.PingReply) -> None:
+        """Verifies the routers that count as alive only here."""
+        if self._verify is None:
+            return
+        confirmed = {member.name for member in reply.updates}
+        confirmed |= {self._own.name, reply.sender.name}
+        await asyncio.gather(
+            *(
+                self._verify(name)
+                for name, member in list(self._members.items())
+                if member.is_serving and name not in confirmed
+            )
+        )
+
     async def on_ping(
         self, request: peer_pb2.PingRequest
     ) -> peer_pb2.PingReply:
         """Answers a probe, after probing `relay_to` if it is set."""
         self._record_contact(request.sender, request.release_number)
-        self._merge_updates(request.updates, request.sender.name)
+        self._merge_updates(request.updates, request.sender.name, True)
+        if not request.all_members:
+            self.compare_alive(request.sender.name, request.alive)
         relay_answered = False
         if request.relay_to:
-            relay_answered = await self._ping(request.relay_to, "")
+            relay_answered = await self.ping(request.relay_to)
+        updates = self._next_updates(request.sender.name)
+        if request.all_members:
+            updates = [
+                member.to_proto()
+                for member in self._members.values()
+                if member.incarnation > 0
+            ]
         return peer_pb2.PingReply(
             sender=self._own.to_proto(),
-            updates=self._next_updates(request.sender.name),
+            updates=updates,
             release_number=self._release_number(),
             relay_answered=relay_answered,
+            alive=self.alive_digest(),
         )
 
     def _record_contact(
@@ -294,30 +387,38 @@
         member = members.from_proto(sender)
         if member.name == self._own.name:
             return
-        self._reported_releases[member.name] = release_number
-        known = self._members.get(member.name)
-        if known is None or member.precedence() > known.precedence():
-            self._store_member(member, member.name)
-        if release_number > self._release_number():
-            self._newer_release_callback(member.name, release_number)
-
-    def _merge_updates(
-        self, updates: Iterable[peer_pb2.Member], source: str
+        self.note_release(member.name, release_number)
+        self._contact_callback(member.name)
+        self.merge(member, member.name)
+
+    def note_release(self, name: str, number: int) -> None:
+        """Records the release number that a router reports."""
+        self._reported_releases[name] = number
+        if number > self._release_number():
+            self._newer_release_callback(name, number)
+
+    def merge(
+        self, update: members.Member, source: str, spread: bool = True
     ) -> None:
-        for update in updates:
-            self._merge_update(members.from_proto(update), source)
+        """Applies an update about a router, if it is news.
 
-    def _merge_update(self, update: members.Member, source: str) -> None:
+        Args:
+            update: the update.
+            source: the router that sent it.
+            spread: whether others are told if it changes who is alive.
+        """
         if update.name == self._own.name:
             self._refute_suspicion(update, source)
             return
         known = self._members.get(update.name)
-        if known is None:
-            if update.state is State.ALIVE:
-                self._store_member(update, source)
-            return
-        if update.precedence() > known.precedence():
-            self._store_member(update, source)
+        if known is None or update.precedence() > known.precedence():
+            self._store_member(update, source, spread)
+
+    def _merge_updates(
+        self, updates: Iterable[peer_pb2.Member], source: str, spread: bool
+    ) -> None:
+        for update in updates:
+            self.merge(members.from_proto(update), source, spread)
 
     def _refute_suspicion(self, update: members.Member, source: str) -> None:
         own = self._own
@@ -331,7 +432,8 @@
                 sequence=self._own.sequence,
                 source=source,
             )
-            self._store_member(self._own, self._own.name)
+            self._store_member(self._own, own.name)
+            self._change_callback(self._own)
 
     def _set_own_state(self, state: State) -> None:
         own = self._own
@@ -340,7 +442,9 @@
         )
         self._store_member(self._own, own.name)
 
-    def _store_member(self, member: members.Member, source: str) -> None:
+    def _store_member(
+        self, member: members.Member, source: str, spread: bool = True
+    ) -> None:
         known = self._members.get(member.name)
         if known is None or _serving_state(known) != _serving_state(member):
             decisions.record(
@@ -364,20 +468,21 @@
         factor = const.GOSSIP_FACTOR
         if member.state is State.ALIVE and member.sequence == 0:
             factor = const.JOIN_GOSSIP_FACTOR
-        transmissions = factor * math.ceil(math.log2(len(self._members) + 1))
-        self._updates.add(member.name, transmissions)
+        if spread:
+            doublings = math.ceil(math.log2(len(self._members) + 1))
+            self._updates.add(member.name, factor * doublings)
         if known is None or _serving_state(known) != _serving_state(member):
             self._on_serving_changed()
+            if spread and (known is not None or member.is_serving):
+                self._change_callback(member)
 
-    def _suspect(self, name: str) -> None:
+    def suspect(self, name: str, source: str) -> None:
+        """Marks a router that cannot be reached as suspect."""
         member = self._members.get(name)
-        if member is None or member.state is not State.ALIVE:
-            return
-        if member.incarnation == 0:
-            return
-        self._store_member(
-            dataclasses.replace(member, state=State.SUSPECT), "probe"
-        )
+        if member is not None and member.is_serving:
+            self._store_member(
+                dataclasses.replace(member, state=State.SUSPECT), source
+            )
 
     def _expire_suspicions(self) -> None:
         now = self._now()
@@ -434,10 +539,14 @@
         ]
 
     def _on_serving_changed(self) -> None:
+        before = self._alive_digest
+        self._alive_digest = None
+        if before is None or self.alive_digest().digest != before:
+            self._alive_digest_at = self._now()
         self._alive_cache.clear()
         for listener in self._listeners:
             listener()
 
 
 def _serving_state(member: members.Member) -> tuple[bool, int]:
-    return member.state is State.ALIVE, member.incarnation
+    return member.is_serving, member.incarnation
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -10,6 +10,7 @@
 from bergamotmill import supervisor
 from bergamotmill.control import const as control_const
 from bergamotmill.control import datagrams
+from bergamotmill.control import liveness
 from bergamotmill.control import members as fleet_members
 from bergamotmill.control import membership as fleet_membership
 from bergamotmill.control import order_lease
@@ -198,6 +199,12 @@
             lambda: self.feed.revision,
         )
         self.membership.set_newer_release_callback(self.feed.note_peer_revision)
+        self.liveness = liveness.LivenessMonitor(
+            self.membership,
+            liveness.Links(self._messages.send),
+            self._rng,
+            self._clock.boottime,
+        )
         self._entry = fleet_state.RouterEntry(
             own.name, self._incarnation, own.peer, own.front, own.data_centre
         )
@@ -347,7 +354,7 @@
     def _build_servers(self, factories: Factories) -> None:
         own = self._settings.router
         dialect = self._dialect
-        router_directory = directory.Directory(self.membership.alive, self._rng)
+        router_directory = directory.Directory(self.liveness.named, self._rng)
         metrics_handler = metrics_page.MetricsPage(self.metrics, self._gauges)
         front = dialect.make_front_handler(
             self.fleet, self.dispatcher, self._clock.monotonic
@@ -378,6 +385,8 @@
         for field, listener in {
             "notices": self.notices.on_notice,
             "leaving": self._on_leaving_notice,
+            "checks": self.liveness.on_check,
+            "members": self.liveness.on_members,
             "asks": self._on_ask,
             "replies": self._on_reply,
             "results": self._on_outcome,
@@ -620,6 +629,7 @@
             "ticks": self.feed.run_suspension_detector,
             "heartbeats": self.feed.run_heartbeats,
             "membership": self._run_membership,
+            "liveness": self._run_liveness,
             "roster": self._run_registration,
             "ages": self._run_age_requests,
             "lease": self.rollout.run_lease,
@@ -656,6 +666,11 @@
         await self.membership.join()
         await self.membership.run()
 
+    async def _run_liveness(self) -> None:
+        while self.fleet.catalog.version == 0:
+            await asyncio.sleep(CATALOG_CHECK_PERIOD_S)
+        await self.liveness.run()
+
     async def _run_age_requests(self) -> None:
         """Requests ages of weights and lost documents from peers.
 
@@ -738,11 +753,11 @@
         self._exits_at = started + grace_s - EXIT_MARGIN_S
         self._front.disable_keep_alive()
         self.membership.leave()
+        self.liveness.announce()
         decisions.record("stopping", grace_s=grace_s)
         async with asyncio.TaskGroup() as group:
             group.create_task(self.rollout.close())
             group.create_task(self._registration.deregister())
-            group.create_task(self.membership.announce())
         linger_s = min(DIRECTORY_LINGER_S, grace_s / 2)
         elapsed_s = self._clock.monotonic() - started
         await asyncio.sleep(max(0.0, linger_s - elapsed_s))
@@ -760,6 +775,7 @@
         await self._allowance_owner.close()
         await self.notices.close()
         await self.quarantine.close()
+        await self.liveness.close()
         await self.feed.close()
         await self._messages.close()
         self.fleet.close()
--- a/bergamotmill/dispatch/peer_messages.py
+++ b/bergamotmill/dispatch/peer_messages.py
@@ -7,10 +7,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from google.protobuf import message as protobuf_message
+
 from bergamotmill.control import datagrams
 from bergamotmill.control import peers as peer_links
 from bergamotmill.dispatch import const
 from bergamotmill.dispatch import placement_messages
+from bergamotmill.helpers import decisions
 from bergamotmill.proto import peer_pb2
 from bergamotmill.util import tasks as background
 
@@ -95,7 +98,11 @@
         return peer_pb2.NotifyReply()
 
     def _on_datagram(self, data: bytes) -> None:
-        self._receive(peer_pb2.NotifyRequest.FromString(data))
+        try:
+            self._receive(peer_pb2.NotifyRequest.FromString(data))
+        except (protobuf_message.DecodeError, ValueError, KeyError) as err:
+            # As from a router of another release.
+            decisions.record("datagram_unreadable", detail=repr(err)[:200])
 
     def _receive(self, request: peer_pb2.NotifyRequest) -> None:
         for field, listener in self._listeners.items():
--- a/bergamotmill/front/addresses.py
+++ b/bergamotmill/front/addresses.py
@@ -39,6 +39,7 @@
     def __init__(
         self,
         alive_members: Callable[[], Sequence[fleet_members.Member]],
+        may_name: Callable[[str], bool],
         lifetime_s: float,
         filing_token_for: Callable[[str], str],
         rng: random.Random,
@@ -47,11 +48,13 @@
 
         Args:
             alive_members: returns the routers that are alive.
+            may_name: whether callers may be sent to one of them.
             lifetime_s: longest lifetime of an address list, in seconds.
             filing_token_for: returns a filing token for a customer's name.
             rng: source of the rotation and the jitter.
         """
         self._alive_members = alive_members
+        self._may_name = may_name
         self._lifetime_s = lifetime_s
         self._filing_token_for = filing_token_for
         self._rng = rng
@@ -84,7 +87,11 @@
 
     def addresses_for(self, customer: core.Customer) -> AddressList:
         """Returns the address list for one caller of the customer."""
-        subset = list(self.routers_for(customer))[: const.MAX_ADDRESSES]
+        subset = [
+            member
+            for member in self.routers_for(customer)
+            if self._may_name(member.name)
+        ][: const.MAX_ADDRESSES]
         if subset:
             offset = self._rng.randrange(len(subset))
             subset = subset[offset:] + subset[:offset]
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -14,6 +14,7 @@
 from bergamotmill.control import const as control_const
 from bergamotmill.control import distribution as release_distribution
 from bergamotmill.control import history as fleet_history
+from bergamotmill.control import liveness
 from bergamotmill.control import members as fleet_members
 from bergamotmill.control import membership as fleet_membership
 from bergamotmill.control import order_lease
@@ -125,6 +126,12 @@
             clock.monotonic,
             self._release_number,
         )
+        self.liveness = liveness.LivenessMonitor(
+            self.membership,
+            liveness.Links(self._send_notify, checks_by_calls=True),
+            self._rng,
+            clock.boottime,
+        )
         releases = release_store.ReleaseStore(
             self._key_value_store, prefix, clock.wall, self._ids
         )
@@ -249,6 +256,7 @@
         now = self._clock.monotonic
         self.router_selector = addresses.RouterSelector(
             self.membership.alive,
+            self.liveness.may_name,
             settings.shutdown.address_lifetime_s,
             self.filings.issue_token,
             self._rng,
@@ -326,6 +334,8 @@
             self.quarantine.on_answers_report(report)
         for notice in request.quarantine:
             self.quarantine.on_notice(notice)
+        for notice in request.members:
+            self.liveness.on_members(notice)
         return await self.notices.on_notify(request)
 
     def _withdraw_attempts(self, entry: prompt_quarantine.Entry) -> None:
@@ -409,6 +419,7 @@
         children = {
             "vm list": self._vm_list.run,
             "membership": self._run_membership,
+            "liveness": self.liveness.run,
             "boot": self.distribution.run_bootstrap,
             "reader": self.distribution.run_reader,
             "puller": self.distribution.run_puller,
@@ -446,6 +457,7 @@
         shutdown = self._settings.shutdown
         self.front.start_draining()
         self.membership.leave()
+        self.liveness.announce()
         await asyncio.sleep(shutdown.address_lifetime_s)
         drained = await self._servers[0].drain(shutdown.deadline_s)
         async with asyncio.timeout(shutdown.deadline_s):
@@ -458,6 +470,7 @@
         await self.orders.close()
         await self.notices.close()
         await self.quarantine.close()
+        await self.liveness.close()
         await self._tasks.close()
         await self.release_manager.close()
         await self.distribution.close()
