--- a/bergamotmill/control/notes.py
+++ b/bergamotmill/control/notes.py
@@ -16,6 +16,7 @@
 from bergamotmill.control import note_schema
 from bergamotmill.helpers import findings
 from bergamotmill.helpers import integrations
+from bergamotmill.helpers import json_text
 from bergamotmill.upstream import drivers
 
 Entries = Mapping[str, Mapping[str, Any]]
@@ -74,7 +75,7 @@
 
 def decode(data: bytes) -> Note:
     """Decodes the stored form of a note."""
-    value = json.loads(data)
+    value = json_text.loads(data)
     draft = Draft(
         value["title"], value["added"], value["changed"], value["withdrawn"]
     )
@@ -136,7 +137,9 @@
         merged.setdefault(kind, {}).update(entries)
     for kind, entries in draft.changed.items():
         for name, fields in entries.items():
-            old = json.loads(configuration.entries_json(kind).get(name, b"{}"))
+            old = json_text.loads(
+                configuration.entries_json(kind).get(name, b"{}")
+            )
             entry = {**old, **fields}
             if kind == core.KIND_MODELS:
                 _keep_serving(old, fields, entry)
@@ -286,7 +289,9 @@
     merged = merge_entries(configuration, draft)
     for kind, entries in sorted(merged.items()):
         for name, entry in sorted(entries.items()):
-            old = json.loads(configuration.entries_json(kind).get(name, b"{}"))
+            old = json_text.loads(
+                configuration.entries_json(kind).get(name, b"{}")
+            )
             sign = "~" if old else "+"
             for key in sorted({*old, *entry}):
                 if old.get(key) != entry.get(key):
--- a/bergamotmill/control/pages.py
+++ b/bergamotmill/control/pages.py
@@ -6,13 +6,13 @@
 """
 
 from collections.abc import Mapping
-import json
 import zlib
 
 import xxhash
 
 from bergamotmill import core
 from bergamotmill.control import const
+from bergamotmill.helpers import json_text
 
 
 def page_name(kind: str, name: str) -> str:
@@ -51,7 +51,7 @@
     """Returns the entries of some pages, by kind and name."""
     raw: dict[str, dict[str, bytes]] = {kind: {} for kind in core.KINDS}
     for page in pages:
-        for kind, entries in json.loads(zlib.decompress(page)).items():
+        for kind, entries in json_text.loads(zlib.decompress(page)).items():
             for name, text in entries.items():
                 raw[kind][name] = text.encode()
     return raw
--- a/bergamotmill/control/quarantine_messages.py
+++ b/bergamotmill/control/quarantine_messages.py
@@ -5,12 +5,21 @@
 
 import result
 
+from bergamotmill.helpers import json_text
 from bergamotmill.proto import peer_pb2
 from bergamotmill.routing import prompt_quarantine
 
 # Part names in one message at most, so that it fits into one datagram.
 MAX_PARTS_PER_MESSAGE = 32
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+# Largest number of trials in a message.
+MAX_TRIALS = 2**32 - 1
+_DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
 
 
 def encode_crash_report(
@@ -135,23 +144,25 @@
 ) -> result.Result[prompt_quarantine.Entry, str]:
     """Decodes an entry that a router or an operator wrote to the store."""
     try:
-        fields = json.loads(value)
-        parts = frozenset(str(name) for name in fields["parts"])
+        fields = json_text.loads(value)
+        parts = frozenset(json_text.text(name) for name in fields["parts"])
         if not parts:
             raise ValueError("no parts")
         return result.Ok(
             prompt_quarantine.Entry(
-                str(fields["model"]),
+                json_text.text(fields["model"]),
                 parts,
-                str(fields.get("customer", "")),
-                int(fields["since_ms"]),
+                json_text.text(fields.get("customer", "")),
+                json_text.count(fields["since_ms"]),
                 frozenset(
-                    prompt_quarantine.Crash(str(replica), int(incarnation))
+                    prompt_quarantine.Crash(
+                        json_text.text(replica), json_text.count(incarnation)
+                    )
                     for replica, incarnation in fields.get("crashes", ())
                 ),
                 bool(fields.get("contested", False)),
-                int(fields.get("trials", 0)),
-                float(fields["next_trial_at"]),
+                json_text.count(fields.get("trials", 0), MAX_TRIALS),
+                json_text.finite(fields["next_trial_at"]),
             )
         )
     except _DECODE_ERRORS as err:
--- a/bergamotmill/control/release_manager.py
+++ b/bergamotmill/control/release_manager.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import json
 from typing import Any
 
 import result
@@ -16,6 +15,7 @@
 from bergamotmill.control import notes
 from bergamotmill.control import release_store
 from bergamotmill.helpers import findings
+from bergamotmill.helpers import json_text
 from bergamotmill.storage import key_value
 from bergamotmill.util import tasks as background
 
@@ -153,7 +153,7 @@
         scanned = await self._store.scan(f"{self._prefix}{const.AUDIT_PREFIX}")
         in_force_lines = {}
         for entry in scanned.unwrap_or([]):
-            line = json.loads(entry.value)
+            line = json_text.loads(entry.value)
             in_force_lines[line["number"]] = line
         return result.Ok(
             [
--- a/bergamotmill/control/release_store.py
+++ b/bergamotmill/control/release_store.py
@@ -18,6 +18,7 @@
 from bergamotmill.control import notes
 from bergamotmill.control import pages as config_pages
 from bergamotmill.helpers import findings
+from bergamotmill.helpers import json_text
 from bergamotmill.storage import key_value
 from bergamotmill.util import ids as id_source
 
@@ -292,7 +293,7 @@
         due_list = await self._store.get(due_key)
         if due_list.is_ok() and due_list.ok() is not None:
             used_digests = set(page_digests.values())
-            for digest in json.loads(due_list.ok().value):
+            for digest in json_text.loads(due_list.ok().value):
                 if digest not in used_digests:
                     await self._store.delete(self._page_key(digest), None)
             await self._store.delete(due_key, None)
@@ -323,7 +324,7 @@
 
 
 def _decode_latest(entry: key_value.Entry) -> LatestRelease:
-    value = json.loads(entry.value)
+    value = json_text.loads(entry.value)
     return LatestRelease(
         value["number"], value["digest"], value["pages"], entry.revision
     )
--- a/bergamotmill/core.py
+++ b/bergamotmill/core.py
@@ -9,6 +9,8 @@
 import json
 from typing import Any
 
+from bergamotmill.helpers import json_text
+
 KIND_CUSTOMERS = "customers"
 KIND_CLASSES = "classes"
 KIND_MODELS = "models"
@@ -236,7 +238,7 @@
         self._customer_cache: dict[str, Customer] = {}
         self._entities = {
             kind: {
-                name: parse_entity(kind, name, json.loads(text))
+                name: parse_entity(kind, name, json_text.loads(text))
                 for name, text in entries_json.get(kind, {}).items()
             }
             for kind in _EAGERLY_PARSED_KINDS
@@ -295,7 +297,7 @@
         text = self._entries_json.get(KIND_CUSTOMERS, {}).get(name)
         if text is None:
             return None
-        customer = parse_entity(KIND_CUSTOMERS, name, json.loads(text))
+        customer = parse_entity(KIND_CUSTOMERS, name, json_text.loads(text))
         if len(self._customer_cache) >= MAX_CACHED_CUSTOMERS:
             self._customer_cache.clear()
         self._customer_cache[name] = customer
@@ -360,7 +362,7 @@
 
 def _index_entry_keys(name: str, text: bytes) -> Iterator[tuple[bytes, str]]:
     """Yields the first 16 bytes of each key digest with the customer's name."""
-    for hex_digest in json.loads(text).get("key_digests", ()):
+    for hex_digest in json_text.loads(text).get("key_digests", ()):
         yield bytes.fromhex(hex_digest)[:16], name
 
 
--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -24,6 +24,7 @@
 from bergamotmill.dispatch import messages
 from bergamotmill.dispatch import upstreams
 from bergamotmill.helpers import decisions
+from bergamotmill.helpers import json_text
 from bergamotmill.routing import stated_limit
 from bergamotmill.util import clock as clocks
 from bergamotmill.util import tasks as background
@@ -172,10 +173,19 @@
 def parse_handover(value: bytes) -> Handover | None:
     """Decodes a handover record; None if it is malformed."""
     try:
-        fields = json.loads(value)
-        ages = {str(k): float(v) for k, v in fields["ages_s"].items()}
-        return Handover(int(fields["fencing"]), ages)
-    except (ValueError, KeyError, TypeError, AttributeError) as err:
+        fields = json_text.loads(value)
+        ages = {
+            str(name): json_text.finite(age_s)
+            for name, age_s in fields["ages_s"].items()
+        }
+        return Handover(json_text.count(fields["fencing"]), ages)
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+    ) as err:
         decisions.record("handover_unreadable", detail=repr(err))
         return None
 
--- a/bergamotmill/filings/claims.py
+++ b/bergamotmill/filings/claims.py
@@ -14,6 +14,7 @@
 
 from bergamotmill.filings import const
 from bergamotmill.filings import messages
+from bergamotmill.helpers import json_text
 from bergamotmill.storage import key_value
 from bergamotmill.util import ids as id_source
 
@@ -55,7 +56,7 @@
 
 def decode(data: bytes) -> Claim:
     """Returns the claim in a stored JSON value."""
-    value = json.loads(data)
+    value = json_text.loads(data)
     outcome = None
     if "outcome" in value:
         stored_outcome = value["outcome"]
--- a/bergamotmill/front/operators.py
+++ b/bergamotmill/front/operators.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable, Callable, Mapping
 import dataclasses
 import hmac
-import json
 from typing import Any, Protocol
 
 from bergamotmill import core
@@ -12,6 +11,7 @@
 from bergamotmill.control import release_store
 from bergamotmill.helpers import findings
 from bergamotmill.helpers import http_server
+from bergamotmill.helpers import json_text
 from bergamotmill.routing import explain
 from bergamotmill.routing import prompt_quarantine
 from bergamotmill.storage import key_value
@@ -140,7 +140,7 @@
     configuration = front.source.configuration()
     kinds = {
         kind: {
-            name: json.loads(text)
+            name: json_text.loads(text)
             for name, text in sorted(configuration.entries_json(kind).items())
         }
         for kind in core.KINDS
@@ -236,7 +236,7 @@
     """Returns the checked draft, or None after responding with an error."""
     source = exchange.request.query.get("source", "note")
     try:
-        value = json.loads(exchange.request.body)
+        value = json_text.loads(exchange.request.body)
     except ValueError as err:
         exchange.respond_json(400, {"error": f"invalid JSON: {err}"})
         return None
--- a/bergamotmill/front/parse.py
+++ b/bergamotmill/front/parse.py
@@ -4,7 +4,6 @@
 """
 
 from collections.abc import Mapping
-import json
 from typing import Any
 
 import result
@@ -12,6 +11,7 @@
 from bergamotmill import core
 from bergamotmill.front import const
 from bergamotmill.helpers import http_server
+from bergamotmill.helpers import json_text
 from bergamotmill.helpers import refusal
 from bergamotmill.routing import request_fingerprint
 from bergamotmill.streams import messages
@@ -110,7 +110,7 @@
             refusal.invalid("body", "the request body is too large")
         )
     try:
-        value = json.loads(request.body)
+        value = json_text.loads(request.body)
     except (ValueError, RecursionError) as err:
         return result.Err(refusal.invalid("body", f"invalid JSON: {err}"))
     if not isinstance(value, dict):
--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -376,8 +376,9 @@
                 _, conn = await loop.create_connection(
                     lambda: ClientConnection(address), host, int(port)
                 )
-        except (OSError, TimeoutError) as err:
-            raise http_errors.ConnectError(f"{address}: {err}") from err
+        except (OSError, TimeoutError, ValueError, OverflowError) as err:
+            # The last two: no system accepts the address.
+            raise http_errors.ConnectError(f"{address!r}: {err}") from err
         return conn
 
     def release(self, conn: ClientConnection) -> None:
--- a/bergamotmill/platform/documents.py
+++ b/bergamotmill/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes and encodes the documents in the platform's store."""
 
 import json
+import re
 from typing import Any
 
 import result
@@ -8,6 +9,7 @@
 from bergamotmill.dispatch import config
 from bergamotmill.dispatch import fleet
 from bergamotmill.dispatch import upstreams
+from bergamotmill.helpers import json_text
 from bergamotmill.platform import const
 
 _REQUEST_KINDS = {
@@ -19,7 +21,19 @@
     "ready": upstreams.UpstreamState.READY,
     "draining": upstreams.UpstreamState.LEAVING,
 }
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+_DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    # The text of another error that contains a nested value.
+    RecursionError,
+)
+_MAX_DELAY_MS = 86_400_000
+_MAX_PORT = 65535
+_HOST = re.compile(r"[A-Za-z0-9._-]{1,253}")
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 class Decoder:
@@ -31,14 +45,16 @@
         """Decodes a document; None if the router does not use its key."""
         try:
             if key == const.KEY_CONFIGURATION:
-                return result.Ok(parse_catalog(json.loads(value)))
+                return result.Ok(parse_catalog(json_text.loads(value)))
             if key.startswith(const.PREFIX_WEIGHTS):
-                return result.Ok(_parse_target_weights(json.loads(value)))
+                return result.Ok(_parse_target_weights(json_text.loads(value)))
             if key.startswith(const.PREFIX_REPLICAS):
                 name = self.upstream_of(key)
-                return result.Ok(parse_upstream_entry(name, json.loads(value)))
+                return result.Ok(
+                    parse_upstream_entry(name, json_text.loads(value))
+                )
             if key.startswith(const.PREFIX_ROUTERS):
-                return result.Ok(_parse_router_entry(json.loads(value)))
+                return result.Ok(_parse_router_entry(json_text.loads(value)))
         except _DECODE_ERRORS as err:
             return result.Err(f"{key}: {err!r}")
         return result.Ok(None)
@@ -51,7 +67,7 @@
         if not is_numbered:
             return 0
         try:
-            return _typed_field(json.loads(value), int, "version")
+            return _typed_field(json_text.loads(value), int, "version")
         except _DECODE_ERRORS:
             # Logged when the document is decoded as a whole.
             return 0
@@ -76,35 +92,56 @@
 
     Raises:
         KeyError, TypeError: the field is missing or has another type.
+        ValueError: it is a number out of range, or no proper text.
     """
     field = value[name]
     if not isinstance(field, expected_type) or isinstance(field, bool):
-        raise TypeError(f"{name} has the wrong type: {field!r}")
+        raise TypeError(f"{name} has the wrong type: {type(field).__name__}")
+    if isinstance(field, str):
+        json_text.text(field)
+    elif isinstance(field, int):
+        json_text.count(field)
     return field
 
 
+def _parse_address(value: Any, name: str) -> str:
+    """Returns a field that holds HOST:PORT.
+
+    Raises:
+        KeyError, TypeError, ValueError: the field is missing or invalid.
+    """
+    address = _typed_field(value, str, name)
+    host, _, port = address.rpartition(":")
+    if (
+        not _HOST.fullmatch(host)
+        or not _PORT.fullmatch(port)
+        or not 0 < int(port) <= _MAX_PORT
+    ):
+        raise ValueError(f"{name} {address[:80]!r} is not HOST:PORT")
+    return address
+
+
 def parse_upstream_entry(name: str, value: Any) -> upstreams.UpstreamEntry:
     """Decodes the state that a replica reports of itself.
 
     Raises:
         ValueError, KeyError, TypeError: a field is missing or invalid.
     """
-    address = _typed_field(value, str, "address")
-    host, _, port = address.rpartition(":")
-    if not name or not host or not port.isdigit():
-        raise ValueError(
-            f"address {address!r} is not HOST:PORT, or the name is empty"
-        )
+    if not name or not name.isascii() or not name.isprintable():
+        raise ValueError("the name is not printable ASCII")
+    delay_ms = _typed_field(value, (int, float), "coldLeftMs")
+    if not 0 <= delay_ms <= _MAX_DELAY_MS:
+        raise ValueError("coldLeftMs is out of range")
     return upstreams.UpstreamEntry(
         name=name,
         service=_typed_field(value, str, "service"),
-        address=address,
+        address=_parse_address(value, "address"),
         data_centre=_typed_field(value, str, "zone"),
         state=_UPSTREAM_STATES[_typed_field(value, str, "state")],
         slots=_typed_field(value, int, "slots"),
         born=_typed_field(value, int, "born"),
         sequence=_typed_field(value, int, "sequence"),
-        cold_left_s=_typed_field(value, (int, float), "coldLeftMs") / 1000.0,
+        cold_left_s=delay_ms / 1000.0,
         weights=parse_held_weights(value.get("models") or ()),
     )
 
@@ -127,8 +164,8 @@
     return fleet.RouterEntry(
         name=_typed_field(value, str, "name"),
         incarnation=_typed_field(value, int, "incarnation"),
-        peer=_typed_field(value, str, "peer"),
-        front=_typed_field(value, str, "front"),
+        peer=_parse_address(value, "peer"),
+        front=_parse_address(value, "front"),
         data_centre=_typed_field(value, str, "data_centre"),
     )
 
--- a/bergamotmill/platform/store.py
+++ b/bergamotmill/platform/store.py
@@ -23,11 +23,18 @@
 from bergamotmill.helpers import hedged_fetch
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
+from bergamotmill.helpers import json_text
 from bergamotmill.platform import const
 from bergamotmill.storage import key_value
 
 _CALL_ERRORS = (http_errors.HttpError, TimeoutError, ValueError)
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+_DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+)
 _JSON_HEADERS = ((b"content-type", b"application/json"),)
 # Higher eras would leave no room for a revision in the 53 bits of a number
 # that JSON readers keep exactly.
@@ -162,7 +169,7 @@
             era = self._note_era(head.get_header(const.HEADER_STORE_ERA))
             if head.status == 429 or head.status >= 500:
                 raise ValueError(f"status {head.status}")
-            value = json.loads(data) if data else {}
+            value = json_text.loads(data) if data else {}
             return result.Ok(_Answer(head.status, era, value))
         except _CALL_ERRORS as err:
             self._pool.close_idle(self._address)
--- a/bergamotmill/status.py
+++ b/bergamotmill/status.py
@@ -12,6 +12,7 @@
 from bergamotmill.control import orders as engine_orders
 from bergamotmill.control import peers as peer_links
 from bergamotmill.front import gate as front_gate
+from bergamotmill.helpers import json_text
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.proto import peer_pb2
 from bergamotmill.routing import view as fleet_view
@@ -150,7 +151,7 @@
                 name, "Status", peer_pb2.StatusRequest(), PEER_TIMEOUT_S
             )
         if reply.is_ok():
-            return json.loads(reply.ok().status)
+            return json_text.loads(reply.ok().status)
         member = self._router.membership.known.get(name)
         state = "gone" if member is None else member.state.name.lower()
         return {"router": name, "state": state, "error": reply.err()}
--- a/bergamotmill/storage/gateway/coordinator.py
+++ b/bergamotmill/storage/gateway/coordinator.py
@@ -9,6 +9,7 @@
 
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
+from bergamotmill.helpers import json_text
 from bergamotmill.storage import key_value
 from bergamotmill.storage.gateway import const
 
@@ -67,7 +68,7 @@
             )
             if head.status != 200:
                 raise ValueError(f"status {head.status}")
-            return result.Ok(json.loads(data))
+            return result.Ok(json_text.loads(data))
         except _CALL_ERRORS as err:
             self._pool.close_idle(address)
             self._current = (self._current + 1) % len(self._addresses)
@@ -168,7 +169,9 @@
             while data := await conn.read():
                 *lines, partial_line = (partial_line + data).split(b"\n")
                 for line in lines:
-                    events = _parse_events(json.loads(line)) if line else []
+                    events = (
+                        _parse_events(json_text.loads(line)) if line else []
+                    )
                     if events:
                         yield events
         except _CALL_ERRORS:
--- a/bergamotmill/storage/vm_list/coordinator.py
+++ b/bergamotmill/storage/vm_list/coordinator.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import json
 import random
 
 import loguru
@@ -10,6 +9,7 @@
 
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
+from bergamotmill.helpers import json_text
 from bergamotmill.storage.vm_list import config
 from bergamotmill.storage.vm_list import const
 
@@ -33,7 +33,7 @@
             )
             if head.status != 200:
                 return result.Err(f"status {head.status}")
-            return result.Ok([config.Vm(**vm) for vm in json.loads(body)])
+            return result.Ok([config.Vm(**vm) for vm in json_text.loads(body)])
         except (
             http_errors.HttpError,
             TimeoutError,
--- a/bergamotmill/streams/events.py
+++ b/bergamotmill/streams/events.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from bergamotmill.helpers import json_text
 from bergamotmill.streams import const
 from bergamotmill.upstream import errors
 
@@ -62,7 +63,7 @@
         for line in event.split(b"\n")
         if line.startswith(b"data:")
     ]
-    return json.loads(b"\n".join(lines))
+    return json_text.loads(b"\n".join(lines))
 
 
 def encode(value: Any) -> bytes:
--- a/bergamotmill/streams/relay.py
+++ b/bergamotmill/streams/relay.py
@@ -14,6 +14,7 @@
 import result
 
 from bergamotmill.control import quarantine
+from bergamotmill.helpers import json_text
 from bergamotmill.helpers import refusal
 from bergamotmill.helpers import run_state
 from bergamotmill.routing import const as routing_const
@@ -595,7 +596,7 @@
     def _refuse_as_invalid(self, err: errors.UpstreamError) -> refusal.Refusal:
         message = err.body.decode("utf-8", "replace")[:500] or str(err)
         try:
-            message = json.loads(err.body)["error"]["message"]
+            message = json_text.loads(err.body)["error"]["message"]
         except (ValueError, KeyError, TypeError):
             pass
         return self._refuse(err.status, refusal.CODE_INVALID_REQUEST, message)
--- a/bergamotmill/upstream/engine/client.py
+++ b/bergamotmill/upstream/engine/client.py
@@ -10,6 +10,7 @@
 from bergamotmill import core
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
+from bergamotmill.helpers import json_text
 from bergamotmill.upstream import drivers
 from bergamotmill.upstream import errors
 from bergamotmill.upstream.engine import config
@@ -128,7 +129,9 @@
             )
             if head.status != 200:
                 return result.Err(f"status {head.status}")
-            return result.Ok(config.report_from_json(json.loads(body), now))
+            return result.Ok(
+                config.report_from_json(json_text.loads(body), now)
+            )
         except (http_errors.HttpError, TimeoutError) as err:
             self._pool.close_idle(self._replica.address)
             return result.Err(repr(err))
@@ -153,7 +156,7 @@
             )
             if head.status != 200:
                 return result.Err(f"status {head.status}")
-            value = json.loads(body)
+            value = json_text.loads(body)
             events = [
                 config.CacheEvent(int(item[0]), bool(item[1]), int(item[2]))
                 for item in value["events"]
@@ -312,6 +315,6 @@
         return None
     now = asyncio.get_running_loop().time()
     try:
-        return config.report_from_json(json.loads(text), now)
+        return config.report_from_json(json_text.loads(text), now)
     except (ValueError, KeyError, TypeError):
         return None
--- a/bergamotmill/upstream/kv_offload/coordinator.py
+++ b/bergamotmill/upstream/kv_offload/coordinator.py
@@ -8,6 +8,7 @@
 from bergamotmill import core
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
+from bergamotmill.helpers import json_text
 from bergamotmill.routing import chain as prefix_chain
 from bergamotmill.upstream.kv_offload import config
 from bergamotmill.upstream.kv_offload import const
@@ -67,7 +68,7 @@
             )
             if head.status != 200:
                 raise ValueError(f"status {head.status}")
-            depth = int(json.loads(body)["depth"])
+            depth = int(json_text.loads(body)["depth"])
         except (
             http_errors.HttpError,
             TimeoutError,
--- a/bergamotmill/util/memory_network.py
+++ b/bergamotmill/util/memory_network.py
@@ -17,6 +17,7 @@
 CURRENT_HOST: contextvars.ContextVar[str] = contextvars.ContextVar(
     "host", default="10.0.9.9"
 )
+MAX_PORT = 65535
 HIGH_WATER_BYTES = 64 * 1024
 
 
@@ -240,7 +241,13 @@
         return count
 
     async def open(self, factory, host: str, port: int):
-        """Opens a connection from the current host."""
+        """Opens a connection from the current host.
+
+        Raises:
+            ConnectionRefusedError: nothing listens there.
+            OverflowError, ValueError: no system accepts the address.
+        """
+        _check_address(host, port)
         source = CURRENT_HOST.get()
         if source in self._killed_hosts:
             raise ConnectionRefusedError(f"host {source} is not running")
@@ -266,6 +273,15 @@
         return near, near.protocol
 
 
+def _check_address(host: str, port: int) -> None:
+    """Raises what an event loop raises for an address that cannot exist."""
+    if not 0 <= port <= MAX_PORT:
+        raise OverflowError("connect(): port must be 0-65535.")
+    if "\0" in host:
+        raise ValueError("embedded null character")
+    host.encode("idna")
+
+
 class NetworkLoop(virtual_loop.VirtualLoop):
     """A virtual event loop whose TCP connections stay in memory."""
 
