--- a/bergamotmill/dispatch/messages.py
+++ b/bergamotmill/dispatch/messages.py
@@ -149,6 +149,8 @@
         forwardable: whether the upstream itself produced the response, so
             that it may be forwarded unchanged.
         not_run: reason given when the upstream did not run the request.
+        is_identified: whether the response is certainly that of this request.
+            Others are not believed that the request has not run.
         weights_version: version of the weights in use; 0 when not reported.
         signals: what the upstream says of itself.
         ends_with_connection: whether the response has neither a length nor
@@ -162,6 +164,7 @@
     weights_version: int = 0
     signals: UpstreamSignals = NO_SIGNALS
     ends_with_connection: bool = False
+    is_identified: bool = True
 
     @property
     def ok(self) -> bool:
--- a/bergamotmill/dispatch/relay.py
+++ b/bergamotmill/dispatch/relay.py
@@ -73,7 +73,7 @@
                 errors.Failure.REFUSED,
                 head.not_run.value,
                 sent=True,
-                ran=False,
+                ran=not head.is_identified,
                 status=head.status,
             )
         if not head.forwardable:
--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -71,6 +71,7 @@
         self._timeout_timer: asyncio.TimerHandle | None = None
         self._request_sent = False
         self._in_use = False
+        self._exchanges = 0
         self.idle_since = 0.0
 
     @property
@@ -78,6 +79,11 @@
         """Whether any byte of the current request may have been sent."""
         return self._request_sent
 
+    @property
+    def was_used_before(self) -> bool:
+        """Whether the connection carried an exchange before the present one."""
+        return self._exchanges > 1
+
     @property
     def reusable(self) -> bool:
         """Whether the connection can carry another request."""
@@ -238,6 +244,7 @@
         data += self._h11.send(h11.EndOfMessage())
         self._require_open()
         self._in_use = True
+        self._exchanges += 1
         self._request_sent = True
         self._transport.write(data)
         self.set_read_timeout(read_timeout_s)
--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -81,6 +81,11 @@
         self._disconnect_callbacks: list[Callable[[], None]] = []
         self.disconnected = False
 
+    @property
+    def is_first(self) -> bool:
+        """Whether this is the first request on its connection."""
+        return self._connection.requests_read == 1
+
     @property
     def started(self) -> bool:
         """Whether the head of the response has been written."""
@@ -189,6 +194,7 @@
         self._unparsed_bytes = 0
         self._reading_paused = False
         self._disconnected = False
+        self.requests_read = 0
         self._exchange: Exchange | None = None
         self._idle = True
 
@@ -298,6 +304,7 @@
         if request is None:
             return False
         self._idle = False
+        self.requests_read += 1
         exchange = Exchange(self, request)
         self._exchange = exchange
         if self._disconnected:
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -14,6 +14,7 @@
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import http_client
 from bergamotmill.helpers import http_errors
+from bergamotmill.helpers import json_text
 from bergamotmill.platform import const
 from bergamotmill.platform import documents
 from bergamotmill.routing import stated_limit
@@ -25,7 +26,7 @@
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 _MISDIRECTED_STATUS = 421
 _CALL_ERRORS = (http_errors.HttpError, TimeoutError, ValueError, KeyError)
-_STATUS_ERRORS = (*_CALL_ERRORS, TypeError, AttributeError)
+_STATUS_ERRORS = (*_CALL_ERRORS, TypeError, AttributeError, OverflowError)
 _ORDER_ANSWER_BY_STATUS = {
     200: rollout.OrderAnswer.HOLDS,
     202: rollout.OrderAnswer.ACCEPTED,
@@ -125,7 +126,7 @@
                 call.body,
                 host=call.route.host,
             )
-            response_head = _parse_head(call, head)
+            response_head = _parse_head(call, head, conn.was_used_before)
         except http_errors.HttpError as err:
             conn.close()
             raise errors.UpstreamError(
@@ -185,7 +186,7 @@
                 return result.Err(
                     rollout.StatusFailure(f"status {head.status}", signals)
                 )
-            return result.Ok(_parse_status(json.loads(data), signals))
+            return result.Ok(_parse_status(json_text.loads(data), signals))
         except _STATUS_ERRORS as err:
             return result.Err(rollout.StatusFailure(repr(err), signals))
 
@@ -269,16 +270,22 @@
 
 
 def _parse_head(
-    call: messages.Call, head: http_client.ResponseHead
+    call: messages.Call, head: http_client.ResponseHead, is_kept: bool
 ) -> messages.ResponseHead:
     """Converts the head of a response.
 
+    Args:
+        call: the call that the response may answer.
+        head: the head.
+        is_kept: whether the connection has carried earlier requests.
+
     Raises:
         errors.UpstreamError: the response belongs to another request.
     """
     response_id = head.get_header(const.HEADER_REQUEST_ID)
     # Only refusals may lack a request id. Any other response without one may
-    # be a late second response to an earlier request on the connection.
+    # be a late second response to an earlier request on the connection, and on
+    # a kept connection a refusal may be so, too.
     is_refusal = head.status in const.NOT_RUN_STATUSES and not response_id
     if response_id != call.request_id and not is_refusal:
         raise errors.UpstreamError(
@@ -304,6 +311,7 @@
             head.get_header("content-length")
             or head.get_header("transfer-encoding")
         ),
+        bool(response_id) or not is_kept,
     )
 
 
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -15,6 +15,8 @@
 LOAD_S = 0.4
 HEALTH_PATH = "/health"
 SILENCE_MAX_S = 60.0
+PIECE_BYTES = 7
+PIECE_PAUSE_S = 0.002
 
 Publish = Callable[[str, dict[str, Any] | None], Awaitable[None]]
 
@@ -92,6 +94,12 @@
             answering, and go on.
         pause_after_start_s: pause within unframed answers, after their first
             bytes, in seconds.
+        repeats_refusals: whether a refusal without a request id arrives before
+            the answer of each request but the first of its connection, as if
+            it were that of an earlier one.
+        resume_answer: written in small pieces instead of an answer to requests
+            that resume or continue a stream, after which their connection is
+            closed. `ID` is replaced by the request's id.
     """
 
     lose_answers: bool = False
@@ -114,6 +122,8 @@
     end_after_head: bool = False
     reset_before_answer: bool = False
     pause_after_start_s: float = 0.0
+    repeats_refusals: bool = False
+    resume_answer: bytes = b""
 
 
 # Bytes that answers without an end start with, and those that follow. `ID` is
@@ -123,6 +133,10 @@
     f"{const.HEADER_RESPONSE_SEAL}: x\r\n"
 ).encode()
 _FILLER = b"z" * 4096
+_REFUSAL = (
+    f"HTTP/1.1 503 Busy\r\n{const.HEADER_NOT_RUN}: 1\r\n"
+    "content-length: 0\r\n\r\n"
+).encode()
 ENDLESS_PARTS = {
     "garbage": (b"", _FILLER),
     "header": (b"HTTP/1.1 200 OK\r\nx-filler: ", _FILLER),
@@ -366,6 +380,11 @@
             run.continued = True
         run.body = exchange.request.body
         self.runs.append(run)
+        if self.faults.resume_answer and (run.resumed_after or continuation):
+            await self._write_in_pieces(exchange, run)
+            return
+        if self.faults.repeats_refusals and not exchange.is_first:
+            exchange.write_raw(_REFUSAL)
         backup = self._replica_at(headers.get(const.HEADER_KV_STANDBY, ""))
         if backup is not None:
             backup.kv_copies.add(run.request_id)
@@ -442,6 +461,14 @@
         loop = asyncio.get_running_loop()
         loop.call_later(self.faults.extra_after_s, exchange.write_raw, text)
 
+    async def _write_in_pieces(self, exchange, run: Run) -> None:
+        run.outcome = "error"
+        data = self.faults.resume_answer.replace(b"ID", run.request_id.encode())
+        for first in range(0, len(data), PIECE_BYTES):
+            exchange.write_raw(data[first : first + PIECE_BYTES])
+            await asyncio.sleep(PIECE_PAUSE_S)
+        exchange.abort()
+
     async def _write_endlessly(self, exchange, run: Run) -> None:
         start, filler = ENDLESS_PARTS[self.faults.endless]
         data = start.replace(b"ID", run.request_id.encode()) + filler
--- a/tests/dispatch/test_calls.py
+++ b/tests/dispatch/test_calls.py
@@ -110,6 +110,28 @@
 
         self.run_fleet(scenario)
 
+    # REFUSED, issue 38: a refusal without an id was believed.
+    def test_refusal_of_an_earlier_request_is_not_believed(self):
+        async def scenario():
+            for route in ("lookup", "check"):
+                await asyncio.gather(*(self.fleet.call(route) for _ in "12345"))
+            for item in self.fleet.replicas.values():
+                item.faults.repeats_refusals = True
+            before = len(self.fleet.runs())
+            for route in ("lookup", "check", "filing", "review"):
+                for _ in range(8):
+                    request_id = self.fleet.new_id()
+                    answer = await self.fleet.call(route, request_id=request_id)
+                    runs = len(self.fleet.runs(request_id))
+                    self.assertLessEqual(runs, 2, route)
+                    if answer.status in const.NOT_RUN_STATUSES:
+                        self.assertEqual(runs, 0, (route, answer.status))
+                    if route in ("filing", "review"):
+                        self.assertEqual((answer.status, runs), (200, 1))
+            self.assertGreater(len(self.fleet.runs()), before)
+
+        self.run_fleet(scenario)
+
     def test_duplicate_response_never_reaches_another_caller(self):
         async def scenario():
             for after_s in (0.0, 0.001, 0.02, 0.055):
