Soak over processes: routers that are off for long, and who is named

Change: the fault remove, whose router is off for 6 to 8 s, and the check that no undisturbed router names one that has been off for over 4 s.

The check itself is tested with a broken and an allowed observation.

--- a/bergamotmill/bench/process_soak/__init__.py
+++ b/bergamotmill/bench/process_soak/__init__.py
@@ -127,6 +127,7 @@
         await fleet.start()
         callers.start()
         tasks.spawn(callers.probe_versions())
+        tasks.spawn(callers.probe_directories())
         tasks.spawn(_monitor(fleet))
         if await _wait_until_served(fleet):
             if arguments.each:
--- a/bergamotmill/bench/process_soak/const.py
+++ b/bergamotmill/bench/process_soak/const.py
@@ -37,6 +37,9 @@
 LIMIT_ALLOWED_MORE = 5
 # A router that has forwarded an answer with a limit is bound by it after this.
 LIMIT_HEARD_S = 0.5
+# A router that is off is not named by a router that no fault has disturbed for
+# this time, once it has been off for this time.
+DIRECTORY_LIMIT_S = 4.0
 RETRY_RATIO = 0.2
 RETRY_SLACK = 54.0
 RETRY_WINDOW_S = 10.0
--- a/bergamotmill/bench/process_soak/faults.py
+++ b/bergamotmill/bench/process_soak/faults.py
@@ -46,6 +46,20 @@
     await _kill_and_restart(fleet, router, rng)
 
 
+@FAULTS.register("remove")
+async def remove(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
+    """Kills a router, which is off for longer than it may be named."""
+    router = _random_router(fleet, rng)
+    off_s = rng.uniform(6.0, 8.0)
+    fleet.observed.record_fault("kill", router.name, off_s + ROUTER_START_S)
+    router.send_signal(signal.SIGCONT)
+    router.send_signal(signal.SIGKILL)
+    if router.process is not None:
+        await router.process.wait()
+    await asyncio.sleep(off_s)
+    await router.start()
+
+
 @FAULTS.register("kill_all")
 async def kill_all(fleet: soak_fleet.Fleet, rng: random.Random) -> None:
     """Kills all routers at once and restarts each after a random delay."""
--- a/bergamotmill/bench/process_soak/observations.py
+++ b/bergamotmill/bench/process_soak/observations.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import time
 
 # Target of faults that concern all routers.
@@ -88,6 +89,15 @@
     ended: float
 
 
+@dataclasses.dataclass(frozen=True)
+class DirectoryAnswer:
+    """The routers that the directory of a router named."""
+
+    at: float
+    router: str
+    named: frozenset[str]
+
+
 @dataclasses.dataclass(frozen=True)
 class Order:
     """An order that a replica accepted.
@@ -130,6 +140,10 @@
         # (router and its start count, time, configuration version) of each
         # probe.
         self.probed_versions: list[tuple[str, float, int]] = []
+        self.directory_answers: list[DirectoryAnswer] = []
+        # Times from which and until which routers were off, by router; the
+        # last one may not have ended yet.
+        self.off_spans: dict[str, list[tuple[float, float]]] = {}
         # Unexpected exits, wrong exit statuses and missing recovery.
         self.failures: list[str] = []
         self.violations: collections.Counter[str] = collections.Counter()
@@ -143,6 +157,15 @@
         now = time.monotonic()
         self.fault_spans.append(FaultSpan(kind, target, now, now + seconds))
 
+    def note_running(self, router: str, running: bool, now: float) -> None:
+        """Records whether the process of a router is running."""
+        spans = self.off_spans.setdefault(router, [])
+        is_off = bool(spans) and spans[-1][1] == math.inf
+        if running and is_off:
+            spans[-1] = (spans[-1][0], now)
+        elif not running and not is_off:
+            spans.append((now, math.inf))
+
     def disturbed(
         self, router: str, replica: str, since: float, until: float
     ) -> bool:
--- a/bergamotmill/bench/process_soak/promises.py
+++ b/bergamotmill/bench/process_soak/promises.py
@@ -343,6 +343,21 @@
     ]
 
 
+@PROMISES.register("a router that is off is not named")
+def _off_routers_not_named(observed: observations.Observations) -> list[str]:
+    limit_s = const.DIRECTORY_LIMIT_S + const.TIMING_TOLERANCE_S
+    return [
+        f"{answer.router} named {name}, off for {answer.at - off_at:.1f} s"
+        for answer in observed.directory_answers
+        if not observed.disturbed(
+            answer.router, "", answer.at - limit_s, answer.at
+        )
+        for name in answer.named
+        for off_at, on_at in observed.off_spans.get(name, ())
+        if off_at + limit_s < answer.at < on_at
+    ]
+
+
 def check(observed: observations.Observations) -> None:
     """Checks all promises and replaces the recorded violations."""
     observed.violations.clear()
--- a/bergamotmill/bench/process_soak/traffic.py
+++ b/bergamotmill/bench/process_soak/traffic.py
@@ -236,6 +236,44 @@
                         group.create_task(self._probe_router(router))
             await asyncio.sleep(const.PROBE_PERIOD_S)
 
+    async def probe_directories(self) -> None:
+        """Asks all directories for routers, and records which are off."""
+        observed = self._fleet.observed
+        while True:
+            async with asyncio.TaskGroup() as group:
+                for router in self._fleet.routers:
+                    observed.note_running(
+                        router.name, router.running, time.monotonic()
+                    )
+                    if router.running:
+                        group.create_task(self._ask_directory(router))
+            await asyncio.sleep(const.PROBE_PERIOD_S)
+
+    async def _ask_directory(self, router: soak_fleet.Router) -> None:
+        at = time.monotonic()
+        try:
+            _, body = await http_client.fetch(
+                self._pool,
+                router.address("directory"),
+                "GET",
+                f"{platform_const.PATH_RESOLVE}?name=soak",
+                timeout_s=const.PROBE_TIMEOUT_S,
+                fresh=True,
+            )
+        except (http_errors.HttpError, TimeoutError):
+            return
+        observed = self._fleet.observed
+        observed.directory_answers.append(
+            observations.DirectoryAnswer(
+                at,
+                router.name,
+                frozenset(
+                    observed.router_names[address]
+                    for address in json.loads(body)["addresses"]
+                ),
+            )
+        )
+
     async def _probe_router(self, router: soak_fleet.Router) -> None:
         """Records the highest version whose own route a router serves."""
         start = f"{router.name} start {router.start_count}"
--- a/tests/bench/test_process_soak.py
+++ b/tests/bench/test_process_soak.py
@@ -221,6 +221,19 @@
         arrive(40)
         self.assert_violated("no more than it allows")
 
+    def test_directory_names_a_router_that_is_off(self):
+        self.observed.note_running("vm-1", True, 99.0)
+        self.observed.note_running("vm-1", False, 100.0)
+        for at in (104.0, 106.0):
+            self.observed.directory_answers.append(
+                observations.DirectoryAnswer(
+                    at, "vm-0", frozenset({"vm-0", "vm-1"})
+                )
+            )
+        self.assert_violated("a router that is off is not named")
+        self.observed.note_running("vm-1", True, 105.5)
+        self.assert_no_violations()
+
     def test_answer_after_route_timeout(self):
         self.observed.requests = [request(ended=103.0)]
         self.assert_violated("a final answer comes")
