--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -416,6 +416,7 @@
             "store_answers": float(self.feed.store_ok),
             "store_call_wait_seconds": self.feed.call_wait_s(),
             "routers_alive": float(len(self.membership.alive())),
+            "routers_named": float(len(self.liveness.named())),
             "upstreams_known": float(len(self.fleet.upstreams.by_name)),
             "requests_waiting": float(self.dispatcher.held_count),
             "response_bytes_buffered": float(self.dispatcher.buffered_bytes),
--- a/bergamotmill/dispatch/notices.py
+++ b/bergamotmill/dispatch/notices.py
@@ -3,11 +3,12 @@
 A notice tells other routers which prompt prefixes an engine will have cached
 and how much work has been added to its queue. Notices may be lost, as estimates
 based on them expire by themselves. A router that first learns that an upstream
-is leaving tells a few others, so that the news reaches nearly all of a large
-fleet in a number of steps that grows with the logarithm of its size.
+is leaving tells some others, and again soon after, so that all of a large fleet
+are told in a number of steps that grows with the logarithm of its size.
 """
 
 import asyncio
+import collections
 from collections.abc import Callable, Sequence
 import random
 
@@ -16,12 +17,16 @@
 from bergamotmill.proto import peer_pb2
 
 MAX_PENDING_NOTICES = 256
+# Repetitions that may be due at a time; the oldest have run or are dropped.
+MAX_REPEAT_TIMERS = 256
 # A notice takes up to about 100 bytes.
 MAX_NOTICES_PER_MESSAGE = 8
 MS_PER_S = 1000
-# Each router that learns that an upstream is leaving tells this many others;
-# with four, about 98 of 100 routers are told.
-LEAVING_FANOUT = 4
+# Each router that learns that an upstream is leaving tells this many others at
+# once, and as many once more after LEAVING_REPEAT_S. The probability that a
+# router is not told is about exp(-16), more while messages are lost.
+LEAVING_FANOUT = 8
+LEAVING_REPEAT_S = 0.3
 # Time by which the prefill of a prompt may end later than estimated.
 PREFILL_MARGIN_S = 0.05
 
@@ -57,6 +62,9 @@
         self._now = now
         self._all_routers = all_routers
         self._rng = rng
+        self._repeat_timers: collections.deque[asyncio.TimerHandle] = (
+            collections.deque()
+        )
         self._pending: dict[str, list[peer_pb2.Notice]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -94,7 +102,16 @@
             )
 
     def announce_leaving(self, name: str, born: int) -> None:
-        """Tells a few routers at once that an upstream is leaving."""
+        """Tells some routers, at once and again, that an upstream leaves."""
+        self._send_leaving(name, born)
+        timer = asyncio.get_running_loop().call_later(
+            LEAVING_REPEAT_S, self._send_leaving, name, born
+        )
+        self._repeat_timers.append(timer)
+        if len(self._repeat_timers) > MAX_REPEAT_TIMERS:
+            self._repeat_timers.popleft().cancel()
+
+    def _send_leaving(self, name: str, born: int) -> None:
         names = list(self._all_routers())
         request = peer_pb2.NotifyRequest(
             leaving=[peer_pb2.LeavingNotice(replica=name, incarnation=born)]
@@ -136,3 +153,5 @@
         """Drops the queued notices."""
         if self._timer is not None:
             self._timer.cancel()
+        for timer in self._repeat_timers:
+            timer.cancel()
--- a/tests/dispatch/test_signals.py
+++ b/tests/dispatch/test_signals.py
@@ -4,6 +4,7 @@
 import unittest
 
 from bergamotmill.platform import const
+from bergamotmill.standin.platform import store
 from tests import platform_case
 
 DRAIN_S = 2.0
@@ -51,6 +52,23 @@
 
         self.run_fleet(scenario, routers=7)
 
+    # DRAIN, issue 38: one router in fifty was not told without the store.
+    def test_all_routers_of_a_larger_fleet_learn_it_without_the_store(self):
+        async def scenario():
+            self.fleet.store.mode = store.Mode.SILENT
+            self.fleet.bus.loss_rate = 0.05
+            self.fleet.routers[0].fleet.note_leaving("s0", 1, "s0")
+            await asyncio.sleep(DRAIN_S)
+            for index, router in self.fleet.routers.items():
+                known = router.fleet.upstreams.is_leaving("s0", 1)
+                self.assertTrue(known, index)
+
+        for seed in range(8):
+            with self.subTest(seed):
+                self.run_fleet(
+                    scenario, seed=seed, routers=24, engines=1, data_centres=4
+                )
+
     def test_stream_goes_on_at_a_leaving_engine(self):
         async def scenario():
             for name in ("e0", "e1", "e2"):
