--- a/bergamotmill/control/liveness.py
+++ b/bergamotmill/control/liveness.py
@@ -236,8 +236,7 @@
             member.name
             for member in watch.targets(own.name, fleet, self._terms.targets)
         ]
-        for name in set(self._watch.names) - self._membership.known.keys():
-            self._watch.forget(name)
+        self._watch.forget_unknown(self._membership.known)
         self._watch.set_targets(names, now)
 
     def _update_isolation(self, now: float) -> None:
--- a/bergamotmill/control/watch.py
+++ b/bergamotmill/control/watch.py
@@ -7,7 +7,7 @@
 router with one that watches it.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable
 import dataclasses
 import math
 
@@ -113,18 +113,13 @@
         self._heard_at: dict[str, float] = {}
         self._last_heard_at = now
 
-    @property
-    def names(self) -> Sequence[str]:
-        """The routers that are watched."""
-        return list(self._targets)
-
     @property
     def last_heard_at(self) -> float:
         """When any router was last heard."""
         return self._last_heard_at
 
     def note_start(self, now: float) -> None:
-        """Records that checks begin now."""
+        """Records that checks begin now; until then nobody could be heard."""
         self._last_heard_at = now
 
     def set_targets(self, names: Iterable[str], now: float) -> None:
@@ -141,10 +136,11 @@
                     now - self._terms.period_s - const.WATCH_TICK_S
                 )
 
-    def forget(self, name: str) -> None:
-        """Forgets a router that has left the fleet."""
-        self._targets.pop(name, None)
-        self._heard_at.pop(name, None)
+    def forget_unknown(self, known: Container[str]) -> None:
+        """Forgets the routers that have left the fleet."""
+        for name in [name for name in self._heard_at if name not in known]:
+            self._targets.pop(name, None)
+            del self._heard_at[name]
 
     def note_heard(self, name: str, now: float) -> None:
         """Records a message of a router, or the word of one that reached it."""
