--- a/review/rig.py
+++ b/review/rig.py
@@ -22,6 +22,7 @@
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
 START_LIMIT_S = 25.0
+SCRIPT_LIMIT_S = 100.0
 # Pieces in which a slow body is sent.
 BODY_PIECES = 40
 HOST = platform_fleet.HOST
@@ -162,7 +163,11 @@
     record.write(f"TROUBLE={int(has_trouble())}")
     try:
         with tempfile.TemporaryDirectory() as temporary_folder:
-            held = asyncio.run(scenario(record, temporary_folder))
+            held = asyncio.run(
+                asyncio.wait_for(
+                    scenario(record, temporary_folder), SCRIPT_LIMIT_S
+                )
+            )
     except (OSError, EOFError, TimeoutError, ExceptionGroup) as err:
         record.write(f"could not run: {err!r}")
         sys.exit(EXIT_NOT_RUN)
