--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,116 +1,144 @@
-"""One router loses the store; a replica leaves without a word meanwhile."""
+"""A router is stopped; later, filings of some seconds still come to it."""
 
 import asyncio
-import itertools
 import pathlib
-from typing import Any
+import signal
 
-from bergamotmill.control import const as control_const
-from bergamotmill.dispatch import readers
-from bergamotmill.util import rendezvous
+from bergamotmill.standin.platform import replica
 from review import rig
 
 FOLDER = pathlib.Path(__file__).parent
-# With more than six routers in a data centre, only some read the store.
-ROUTERS = 8
-DRAIN_S = 2.0
-CALM_S = 6.0
-# From the cut to the removal of the replica's entry.
-LEAVING_DELAY_S = 2.0
-# The replica goes on for drainMs and a little longer, then it exits.
-SERVES_ON_S = 2.3
-OBSERVED_AFTER_S = 1.0
-REQUEST_PERIOD_S = 0.02
-
-
-class OneDataCentre(rig.Deployment):
-    """A deployment whose routers are all in one data centre."""
-
-    def _router_settings(self, index: int, routers: int) -> dict[str, Any]:
-        settings = super()._router_settings(index, routers)
-        settings["router"]["data_centre"] = "dc-0"
-        return settings
-
-
-def first_reader(names: list[str]) -> str:
-    """Returns the router that reads the store for the data centre."""
-    return rendezvous.top(
-        readers.RENDEZVOUS_KEY,
-        set(names),
-        control_const.READERS_PER_DATA_CENTRE,
-    )[0]
-
-
-async def file_records(address: str, name: str, record: rig.Record) -> None:
-    """Files one record after the other through a router."""
-    caller = rig.Caller(address)
-    statuses: dict[int, int] = {}
-    try:
-        for number in itertools.count():
-            headers = rig.request_headers(f"{name}/{number}", 1.5)
-            status, _ = await caller.send(
+ROUTERS = 2
+# The operators let a filing take this long.
+TIMEOUT_S = 10.0
+# Time that a replica works on a filing.
+WORK_S = 4.6
+CALLERS = 6
+# The filings come this long after SIGTERM: later than the 3 s up to which the
+# rule excuses those that are at work at the end.
+FIRST_S = 3.2
+PERIOD_S = 0.1
+# From SIGTERM until 1 s after the grace period.
+PLANNED_WORK_S = 9.0
+# A channel that ends within this time of the last byte may not have been read.
+LOSS_SLACK_S = 0.2
+
+
+class Filing:
+    """One filing, and how it ended.
+
+    Attributes:
+        status: status of the answer; 0 if the channel ended without one.
+        seconds: from the last byte of the request to the end.
+    """
+
+    def __init__(self, name: str, caller: rig.Caller):
+        self.name = name
+        self.status = -1
+        self.seconds = 0.0
+        self._caller = caller
+
+    async def run(self, record: rig.Record) -> None:
+        """Sends the filing and waits for the answer."""
+        loop = asyncio.get_running_loop()
+        headers = rig.request_headers(self.name, TIMEOUT_S)
+        record.write(f"sent {self.name}")
+        sent_at = loop.time()
+        try:
+            self.status, _ = await self._caller.send(
                 "POST", "/filing/x", headers, b"a certified record"
             )
-            if status != 200:
-                record.write(f"answered {name}/{number}: {status}")
-            statuses[status] = statuses.get(status, 0) + 1
-            await asyncio.sleep(REQUEST_PERIOD_S)
-    except asyncio.CancelledError:
-        record.write(f"answers of {name} by status: {statuses}")
-    finally:
-        caller.close()
+        except (OSError, EOFError) as err:
+            self.status = 0
+            record.write(f"channel of {self.name} ended: {err!r}")
+        else:
+            record.write(f"answered {self.name}: {self.status}")
+        self.seconds = loop.time() - sent_at
+
+
+def timeouts(configuration: dict) -> list[dict]:
+    """Returns the routes with the operators' time-out."""
+    routes = configuration["routes"]
+    return [
+        {**route, "timeoutMs": TIMEOUT_S * 1000}
+        if route["name"] == "filing"
+        else route
+        for route in routes
+    ]
 
 
 async def scenario(record: rig.Record, folder: str) -> bool | None:
-    """Returns whether the replica was left alone in time."""
-    deployment = OneDataCentre(ROUTERS, 1, 2, folder)
-    loop = asyncio.get_running_loop()
+    """Runs the filings; returns whether the rule held."""
+    deployment = rig.Deployment(ROUTERS, 1, 4, folder)
     try:
         await deployment.start()
+        routes = timeouts(rig.platform_fleet.configuration())
+        await deployment.publish_configuration({"routes": routes})
         await deployment.wait_until_ready()
-        await asyncio.sleep(CALM_S)
-        cut_name = first_reader([item.name for item in deployment.routers])
-        tasks = [
-            asyncio.create_task(
-                file_records(router.address("front"), router.name, record)
+        # The deployment is calm for longer than contactMs.
+        await asyncio.sleep(4.0)
+        router = deployment.routers[0]
+        # They keep these channels, as callers of an address do until it has
+        # gone.
+        callers = [rig.Caller(router.address("front")) for _ in range(CALLERS)]
+        for number, caller in enumerate(callers):
+            status, _ = await caller.send(
+                "GET",
+                "/lookup/x",
+                rig.request_headers(f"first-{number}", 1.5),
             )
-            for router in deployment.routers
-            if router.name != cut_name
+            record.write(f"answered first-{number}: {status}")
+            if status != 200:
+                return None
+        if rig.has_trouble():
+            record.write(f"SIGTERM to {router.name}")
+            router.send_signal(signal.SIGTERM)
+        stopped_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(FIRST_S)
+        filings = [
+            Filing(f"filing-{number}", caller)
+            for number, caller in enumerate(callers)
         ]
-        leaving = next(
-            standin
-            for standin in deployment.replicas.values()
-            if not standin.model
+        tasks = []
+        for filing in filings:
+            tasks.append(asyncio.create_task(filing.run(record)))
+            await asyncio.sleep(PERIOD_S)
+        await asyncio.gather(*tasks)
+        record.write(
+            f"all ended {asyncio.get_running_loop().time() - stopped_at:.2f} s "
+            "after the stop began"
         )
-        if rig.has_trouble():
-            link = deployment.proxies[f"store:{cut_name}"].link_faults
-            link.cut_to = link.cut_from = True
-            record.write(f"{cut_name} is cut off from the store")
-        await asyncio.sleep(LEAVING_DELAY_S)
-        await deployment.deregister_replica(leaving.name)
-        left_at = loop.time()
-        record.write(f"the store has acked that {leaving.name} is gone")
-        await asyncio.sleep(SERVES_ON_S)
-        runs = [(run.began, run.request_id) for run in leaving.runs]
-        await deployment.stop_replica(leaving.name, crash=False)
-        record.write(f"{leaving.name} has exited")
-        await asyncio.sleep(OBSERVED_AFTER_S)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        runs = {
+            run.request_id: run.outcome or "cut"
+            for standin in deployment.replicas.values()
+            for run in standin.runs
+        }
     finally:
         await deployment.close()
-    late = []
-    for began, request_id in runs:
-        after_s = began - left_at
-        if after_s > -0.5:
-            record.write(f"ran {request_id} {after_s:.3f} s after the ack")
-        if after_s > DRAIN_S:
-            late.append(request_id)
-    routers = sorted({name.partition("/")[0] for name in late})
-    record.write(f"{len(late)} too late, from {routers}")
-    return not late if runs else None
+    lost = []
+    for filing in filings:
+        record.write(
+            f"{filing.name}: status {filing.status} after {filing.seconds:.2f} "
+            f"s; at the replica: {runs.get(filing.name, 'never')}"
+        )
+        if (
+            filing.status == 0
+            and filing.name in runs
+            and filing.seconds > LOSS_SLACK_S
+        ):
+            lost.append(filing.name)
+    record.write(f"lost: {lost}")
+    return not lost
+
+
+async def work_for_long(standin, exchange, run) -> None:
+    """Answers a filing after the time that it takes."""
+    if exchange.request.method == "POST":
+        await asyncio.sleep(WORK_S)
+    run.outcome = "ok"
+    exchange.respond(200, b"recorded", standin._success_headers(exchange))
 
 
 if __name__ == "__main__":
+    replica.ReplicaStandIn._run_plain = work_for_long
     rig.run(scenario, FOLDER)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,144 +1,120 @@
-"""A router is stopped; later, filings of some seconds still come to it."""
+"""The store turns some routers away; a route is removed meanwhile."""
 
 import asyncio
+import itertools
 import pathlib
-import signal
+from typing import Any
 
-from bergamotmill.standin.platform import replica
+from bergamotmill.dispatch import readers
+from bergamotmill.util import rendezvous
 from review import rig
 
 FOLDER = pathlib.Path(__file__).parent
-ROUTERS = 2
-# The operators let a filing take this long.
-TIMEOUT_S = 10.0
-# Time that a replica works on a filing.
-WORK_S = 4.6
-CALLERS = 6
-# The filings come this long after SIGTERM: later than the 3 s up to which the
-# rule excuses those that are at work at the end.
-FIRST_S = 3.2
-PERIOD_S = 0.1
-# From SIGTERM until 1 s after the grace period.
-PLANNED_WORK_S = 9.0
-# A channel that ends within this time of the last byte may not have been read.
-LOSS_SLACK_S = 0.2
-
-
-class Filing:
-    """One filing, and how it ended.
+ROUTERS = 15
+# A third: the site files turn away 0.33 and 0.35 of the machines.
+TURNED_AWAY = 5
+CONFIG_APPLY_S = 2.0
+CALM_S = 6.0
+CHANGE_DELAY_S = 0.05
+OBSERVED_S = 6.0
+REQUEST_PERIOD_S = 0.1
+
+
+class OneDataCentre(rig.Deployment):
+    """A deployment whose routers are all in one data centre."""
+
+    def _router_settings(self, index: int, routers: int) -> dict[str, Any]:
+        settings = super()._router_settings(index, routers)
+        settings["router"]["data_centre"] = "dc-0"
+        return settings
+
+
+class Lookups:
+    """Sends one request after the other through a router.
 
     Attributes:
-        status: status of the answer; 0 if the channel ended without one.
-        seconds: from the last byte of the request to the end.
+        sent_at: when each request was sent, by its id.
     """
 
-    def __init__(self, name: str, caller: rig.Caller):
-        self.name = name
-        self.status = -1
-        self.seconds = 0.0
-        self._caller = caller
+    def __init__(self, name: str, address: str):
+        self._name = name
+        self._address = address
+        self.sent_at: dict[str, float] = {}
 
     async def run(self, record: rig.Record) -> None:
-        """Sends the filing and waits for the answer."""
+        """Sends requests until cancelled."""
         loop = asyncio.get_running_loop()
-        headers = rig.request_headers(self.name, TIMEOUT_S)
-        record.write(f"sent {self.name}")
-        sent_at = loop.time()
+        caller = rig.Caller(self._address)
+        before = 0
         try:
-            self.status, _ = await self._caller.send(
-                "POST", "/filing/x", headers, b"a certified record"
-            )
-        except (OSError, EOFError) as err:
-            self.status = 0
-            record.write(f"channel of {self.name} ended: {err!r}")
-        else:
-            record.write(f"answered {self.name}: {self.status}")
-        self.seconds = loop.time() - sent_at
-
-
-def timeouts(configuration: dict) -> list[dict]:
-    """Returns the routes with the operators' time-out."""
-    routes = configuration["routes"]
-    return [
-        {**route, "timeoutMs": TIMEOUT_S * 1000}
-        if route["name"] == "filing"
-        else route
-        for route in routes
-    ]
+            for number in itertools.count():
+                request_id = f"{self._name}/{number}"
+                self.sent_at[request_id] = loop.time()
+                headers = rig.request_headers(request_id, 1.5)
+                status, _ = await caller.send("GET", "/lookup/x", headers)
+                if status != before:
+                    record.write(f"answered {request_id}: {status}")
+                before = status
+                await asyncio.sleep(REQUEST_PERIOD_S)
+        finally:
+            caller.close()
+
+
+def without_route(name: str) -> dict[str, Any]:
+    """Returns a change of the configuration that removes a route."""
+    routes = rig.platform_fleet.configuration()["routes"]
+    return {"routes": [route for route in routes if route["name"] != name]}
 
 
 async def scenario(record: rig.Record, folder: str) -> bool | None:
-    """Runs the filings; returns whether the rule held."""
-    deployment = rig.Deployment(ROUTERS, 1, 4, folder)
+    """Returns whether all routers in touch applied the change in time."""
+    deployment = OneDataCentre(ROUTERS, 1, 2, folder)
+    loop = asyncio.get_running_loop()
     try:
         await deployment.start()
-        routes = timeouts(rig.platform_fleet.configuration())
-        await deployment.publish_configuration({"routes": routes})
         await deployment.wait_until_ready()
-        # The deployment is calm for longer than contactMs.
-        await asyncio.sleep(4.0)
-        router = deployment.routers[0]
-        # They keep these channels, as callers of an address do until it has
-        # gone.
-        callers = [rig.Caller(router.address("front")) for _ in range(CALLERS)]
-        for number, caller in enumerate(callers):
-            status, _ = await caller.send(
-                "GET",
-                "/lookup/x",
-                rig.request_headers(f"first-{number}", 1.5),
-            )
-            record.write(f"answered first-{number}: {status}")
-            if status != 200:
-                return None
-        if rig.has_trouble():
-            record.write(f"SIGTERM to {router.name}")
-            router.send_signal(signal.SIGTERM)
-        stopped_at = asyncio.get_running_loop().time()
-        await asyncio.sleep(FIRST_S)
-        filings = [
-            Filing(f"filing-{number}", caller)
-            for number, caller in enumerate(callers)
+        await asyncio.sleep(CALM_S)
+        names = {router.name for router in deployment.routers}
+        # The first in the order in which routers become readers of the store.
+        turned_away = rendezvous.top(readers.RENDEZVOUS_KEY, names, TURNED_AWAY)
+        lookups = [
+            Lookups(router.name, router.address("front"))
+            for router in deployment.routers
+            if router.name not in turned_away
         ]
-        tasks = []
-        for filing in filings:
-            tasks.append(asyncio.create_task(filing.run(record)))
-            await asyncio.sleep(PERIOD_S)
-        await asyncio.gather(*tasks)
-        record.write(
-            f"all ended {asyncio.get_running_loop().time() - stopped_at:.2f} s "
-            "after the stop began"
-        )
+        tasks = [asyncio.create_task(item.run(record)) for item in lookups]
+        await asyncio.sleep(1.0)
+        if rig.has_trouble():
+            for name in turned_away:
+                link = deployment.proxies[f"store:{name}"].link_faults
+                link.cut_to = link.cut_from = True
+            record.write(f"the store is silent for {turned_away}")
+        await asyncio.sleep(CHANGE_DELAY_S)
+        await deployment.publish_configuration(without_route("lookup"))
+        acked_at = loop.time()
+        record.write("the store has acked a version without the route")
+        await asyncio.sleep(OBSERVED_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         runs = {
-            run.request_id: run.outcome or "cut"
+            run.request_id
             for standin in deployment.replicas.values()
             for run in standin.runs
         }
     finally:
         await deployment.close()
-    lost = []
-    for filing in filings:
-        record.write(
-            f"{filing.name}: status {filing.status} after {filing.seconds:.2f} "
-            f"s; at the replica: {runs.get(filing.name, 'never')}"
-        )
-        if (
-            filing.status == 0
-            and filing.name in runs
-            and filing.seconds > LOSS_SLACK_S
-        ):
-            lost.append(filing.name)
-    record.write(f"lost: {lost}")
-    return not lost
-
-
-async def work_for_long(standin, exchange, run) -> None:
-    """Answers a filing after the time that it takes."""
-    if exchange.request.method == "POST":
-        await asyncio.sleep(WORK_S)
-    run.outcome = "ok"
-    exchange.respond(200, b"recorded", standin._success_headers(exchange))
+    late = []
+    for item in lookups:
+        for request_id, sent_at in item.sent_at.items():
+            after_s = sent_at - acked_at
+            if request_id in runs and after_s > CONFIG_APPLY_S:
+                late.append(request_id)
+                record.write(f"ran {request_id}, sent {after_s:.3f} s after it")
+    routers = sorted({name.partition("/")[0] for name in late})
+    record.write(f"{len(late)} by the older version, at {routers}")
+    return not late if runs else None
 
 
 if __name__ == "__main__":
-    replica.ReplicaStandIn._run_plain = work_for_long
     rig.run(scenario, FOLDER)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,120 +1,106 @@
-"""The store turns some routers away; a route is removed meanwhile."""
+"""The router that gives orders is stopped between two versions of weights."""
 
 import asyncio
-import itertools
+import json
 import pathlib
-from typing import Any
+import signal
 
-from bergamotmill.dispatch import readers
-from bergamotmill.util import rendezvous
+from bergamotmill.standin.platform import replica
 from review import rig
 
 FOLDER = pathlib.Path(__file__).parent
-ROUTERS = 15
-# A third: the site files turn away 0.33 and 0.35 of the machines.
-TURNED_AWAY = 5
-CONFIG_APPLY_S = 2.0
-CALM_S = 6.0
-CHANGE_DELAY_S = 0.05
+ROUTERS = 3
+ENGINES = 1
+LEASE_S = 3.0
+# Time from an order to the stop, and from the stop to the next version.
+STOP_DELAY_S = 0.1
+NEXT_VERSION_DELAY_S = 0.1
+# Time for the second version to reach all engines.
 OBSERVED_S = 6.0
-REQUEST_PERIOD_S = 0.1
 
 
-class OneDataCentre(rig.Deployment):
-    """A deployment whose routers are all in one data centre."""
-
-    def _router_settings(self, index: int, routers: int) -> dict[str, Any]:
-        settings = super()._router_settings(index, routers)
-        settings["router"]["data_centre"] = "dc-0"
-        return settings
-
-
-class Lookups:
-    """Sends one request after the other through a router.
-
-    Attributes:
-        sent_at: when each request was sent, by its id.
-    """
-
-    def __init__(self, name: str, address: str):
-        self._name = name
-        self._address = address
-        self.sent_at: dict[str, float] = {}
-
-    async def run(self, record: rig.Record) -> None:
-        """Sends requests until cancelled."""
-        loop = asyncio.get_running_loop()
-        caller = rig.Caller(self._address)
-        before = 0
-        try:
-            for number in itertools.count():
-                request_id = f"{self._name}/{number}"
-                self.sent_at[request_id] = loop.time()
-                headers = rig.request_headers(request_id, 1.5)
-                status, _ = await caller.send("GET", "/lookup/x", headers)
-                if status != before:
-                    record.write(f"answered {request_id}: {status}")
-                before = status
-                await asyncio.sleep(REQUEST_PERIOD_S)
-        finally:
-            caller.close()
-
-
-def without_route(name: str) -> dict[str, Any]:
-    """Returns a change of the configuration that removes a route."""
-    routes = rig.platform_fleet.configuration()["routes"]
-    return {"routes": [route for route in routes if route["name"] != name]}
+async def handle_order(standin, exchange) -> None:
+    """Carries out an order without a check of its fence number."""
+    body = json.loads(exchange.request.body)
+    if standin._loading or body["precondition"] != len(standin.orders):
+        exchange.respond(409)
+        return
+    standin.orders.append((body["holder"], body["fenceToken"], body["version"]))
+    standin.ordered_at.append(asyncio.get_running_loop().time())
+    standin._loading = True
+    exchange.respond(202)
+    standin._tasks.spawn(standin._load(body["version"], False))
+
+
+async def wait_for_orders(
+    engines: list[replica.ReplicaStandIn], count: int
+) -> None:
+    """Waits until each of the engines has accepted this many orders."""
+    async with asyncio.timeout(15.0):
+        while min(len(engine.orders) for engine in engines) < count:
+            await asyncio.sleep(0.01)
+
+
+async def change_versions(
+    deployment: rig.Deployment,
+    engines: list[replica.ReplicaStandIn],
+    record: rig.Record,
+) -> None:
+    """Names two versions; the holder is stopped in between."""
+    await deployment.publish_weights(2)
+    record.write("version 2 named")
+    await wait_for_orders(engines, 1)
+    holder = max(engines, key=lambda engine: engine.ordered_at[-1]).orders[-1][
+        0
+    ]
+    record.write(f"all engines have an order of {holder}")
+    await asyncio.sleep(STOP_DELAY_S)
+    if rig.has_trouble():
+        router = next(
+            item for item in deployment.routers if item.name == holder
+        )
+        record.write(f"SIGTERM to {router.name}")
+        router.send_signal(signal.SIGTERM)
+    await asyncio.sleep(NEXT_VERSION_DELAY_S)
+    await deployment.publish_weights(3)
+    record.write("version 3 named")
+    await asyncio.sleep(OBSERVED_S)
 
 
 async def scenario(record: rig.Record, folder: str) -> bool | None:
-    """Returns whether all routers in touch applied the change in time."""
-    deployment = OneDataCentre(ROUTERS, 1, 2, folder)
-    loop = asyncio.get_running_loop()
+    """Returns whether the holders took turns too soon."""
+    deployment = rig.Deployment(ROUTERS, ENGINES, 1, folder)
     try:
         await deployment.start()
         await deployment.wait_until_ready()
-        await asyncio.sleep(CALM_S)
-        names = {router.name for router in deployment.routers}
-        # The first in the order in which routers become readers of the store.
-        turned_away = rendezvous.top(readers.RENDEZVOUS_KEY, names, TURNED_AWAY)
-        lookups = [
-            Lookups(router.name, router.address("front"))
-            for router in deployment.routers
-            if router.name not in turned_away
+        # The first holder's lease and the deployment have settled.
+        await asyncio.sleep(6.0)
+        engines = [
+            standin for standin in deployment.replicas.values() if standin.model
         ]
-        tasks = [asyncio.create_task(item.run(record)) for item in lookups]
-        await asyncio.sleep(1.0)
-        if rig.has_trouble():
-            for name in turned_away:
-                link = deployment.proxies[f"store:{name}"].link_faults
-                link.cut_to = link.cut_from = True
-            record.write(f"the store is silent for {turned_away}")
-        await asyncio.sleep(CHANGE_DELAY_S)
-        await deployment.publish_configuration(without_route("lookup"))
-        acked_at = loop.time()
-        record.write("the store has acked a version without the route")
-        await asyncio.sleep(OBSERVED_S)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        runs = {
-            run.request_id
-            for standin in deployment.replicas.values()
-            for run in standin.runs
+        await change_versions(deployment, engines, record)
+        orders = {
+            engine.name: list(
+                zip(engine.ordered_at, engine.orders, strict=True)
+            )
+            for engine in engines
         }
     finally:
         await deployment.close()
-    late = []
-    for item in lookups:
-        for request_id, sent_at in item.sent_at.items():
-            after_s = sent_at - acked_at
-            if request_id in runs and after_s > CONFIG_APPLY_S:
-                late.append(request_id)
-                record.write(f"ran {request_id}, sent {after_s:.3f} s after it")
-    routers = sorted({name.partition("/")[0] for name in late})
-    record.write(f"{len(late)} by the older version, at {routers}")
-    return not late if runs else None
+    held = True
+    for name, given in orders.items():
+        before = None
+        for at, (holder, fence, version) in given:
+            line = f"{name}: {holder}, fence {fence}, version {version}"
+            if before is not None and before[1] != holder:
+                gap_s = at - before[0]
+                line += f", {gap_s:.2f} s after the order of {before[1]}"
+                held = held and gap_s >= LEASE_S
+            record.write(line)
+            before = (at, holder)
+    return held
 
 
 if __name__ == "__main__":
+    replica.ReplicaStandIn._handle_order = handle_order
     rig.run(scenario, FOLDER)
