--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,9 +10,9 @@
 from review import rig
 
 FOLDER = pathlib.Path(__file__).parent
-ROUTERS = 15
-# A third: the site files turn away 0.33 and 0.35 of the machines.
-TURNED_AWAY = 5
+ROUTERS = 20
+# The largest share of machines in the site files is 0.35.
+TURNED_AWAY = 7
 CONFIG_APPLY_S = 2.0
 CALM_S = 6.0
 CHANGE_DELAY_S = 0.05
