--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -264,8 +264,3 @@
 # An engine that has accepted an order reports itself as busy within this time:
 # the time limit of the order, and the age of what engines report.
 ORDER_CONFIRM_S = 0.9
-
-# A router that is shutting down starts only requests that can end before it
-# exits: at least this much time must be left.
-MIN_STREAM_BEFORE_EXIT_S = 5.0
-MIN_PLAIN_BEFORE_EXIT_S = 3.0
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -64,6 +64,8 @@
 MAX_LIMITS_LISTED = 64
 # The process exits this long before the end of the grace period.
 EXIT_MARGIN_S = 0.5
+# Time to write responses to the calls that have not completed by then.
+LAST_RESPONSES_S = 0.1
 
 
 class Link(ports.UpstreamLink, rollout.OrderLink, Protocol):
@@ -344,6 +346,7 @@
             self._allowances,
             call_dispatcher.ProcessContext(
                 self.seconds_until_exit,
+                self._others_serve,
                 self.metrics,
                 self._clock.monotonic,
                 self._clock.boottime,
@@ -449,6 +452,11 @@
         """Returns seconds until this process exits; infinite while serving."""
         return self._exits_at - self._clock.monotonic()
 
+    def _others_serve(self) -> bool:
+        """Whether callers are sent to other routers."""
+        own = self._settings.router.name
+        return any(item.name != own for item in self.liveness.named())
+
     def _alive_in(self, data_centre: str) -> Sequence[fleet_members.Member]:
         return self.membership.alive(data_centre)
 
@@ -755,7 +763,10 @@
         self._front.disable_keep_alive()
         self.membership.leave()
         self.liveness.announce()
-        decisions.record("stopping", grace_s=grace_s)
+        self.dispatcher.begin_shutdown()
+        decisions.record(
+            "stopping", grace_s=grace_s, others_serve=self._others_serve()
+        )
         async with asyncio.TaskGroup() as group:
             group.create_task(self.rollout.close())
             group.create_task(self._registration.deregister())
@@ -766,6 +777,9 @@
         drained = await self._front.drain(
             max(0.0, grace_s - EXIT_MARGIN_S - elapsed_s)
         )
+        if not drained:
+            self.dispatcher.end_calls()
+            await self._front.drain(LAST_RESPONSES_S)
         decisions.record("stopped", whole=drained)
 
     async def close(self) -> None:
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -26,12 +26,19 @@
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.routing import prompt_quarantine
+from bergamotmill.routing import shutdown
 from bergamotmill.routing import window_budget
 from bergamotmill.upstream import errors
 from bergamotmill.util import tasks as background
 
 # A caller rejected by a router that is shutting down may try another at once.
 LEAVING_RETRY_AFTER_S = 0.02
+# Why a router that is shutting down rejects a call: it may not complete before
+# the process ends, or it has not.
+REASON_LEAVING = "leaving"
+REASON_ENDED = "router_ended"
+# Outcomes that show how long requests of a route take.
+_FULL_LENGTH_OUTCOMES = ("answered", "deadline", REASON_ENDED)
 # Failures after which a run may continue from the standby's KV copy.
 _CONTINUABLE_FAILURES = (errors.Failure.LOST, errors.Failure.SILENT)
 # Failures that say nothing against the upstream.
@@ -46,6 +53,7 @@
 
     Attributes:
         seconds_until_exit: returns seconds until this process ends.
+        others_serve: returns whether other routers take requests.
         metrics: counters and timings.
         now: the monotonic clock.
         boottime: the clock that also runs during suspensions.
@@ -53,12 +61,32 @@
     """
 
     seconds_until_exit: Callable[[], float]
+    others_serve: Callable[[], bool]
     metrics: stats.Metrics
     now: Callable[[], float]
     boottime: Callable[[], float]
     rng: random.Random
 
 
+@dataclasses.dataclass(slots=True)
+class _OpenCall:
+    """A call that is being served.
+
+    Attributes:
+        ended_for: why this router ends it; empty if it does not.
+    """
+
+    progress: call_progress.Progress
+    sink: ports.Sink
+    task: asyncio.Task[messages.Rejection | None]
+    ended_for: str = ""
+
+    def end(self, reason: str) -> None:
+        """Has the call rejected."""
+        self.ended_for = reason
+        self.task.cancel()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ChoiceObserver:
     """Tells the placement how a chosen engine responds."""
@@ -112,7 +140,10 @@
         prompts.add_listener(self._withdraw_attempts)
         # The calls whose present attempt has no response yet, by request id.
         self._unanswered: dict[str, call_progress.Progress] = {}
+        self._open: dict[call_progress.Progress, _OpenCall] = {}
+        self._durations = shutdown.LongestDurations()
         self._seconds_until_exit = process.seconds_until_exit
+        self._others_serve = process.others_serve
         self._metrics = process.metrics
         self._now = process.now
         self._rng = process.rng
@@ -143,23 +174,39 @@
         await self._tasks.close()
         await self._attempt_runner.close()
 
+    def begin_shutdown(self) -> None:
+        """Rejects the calls that wait and may not complete before the exit."""
+        for item in list(self._open.values()):
+            is_at_upstream = item.progress.call.request_id in self._unanswered
+            if (
+                not is_at_upstream
+                and not item.sink.started
+                and not self._may_complete(item.progress.call)
+            ):
+                item.end(REASON_LEAVING)
+
+    def end_calls(self) -> None:
+        """Rejects all open calls, as this process is about to end."""
+        for item in list(self._open.values()):
+            item.end(REASON_ENDED)
+
     async def serve(self, call: messages.Call, sink: ports.Sink) -> None:
         """Serves one call; it is cancelled when the caller disconnects."""
         progress = call_progress.Progress(call)
-        if self._may_exit_during(call):
-            rejection = messages.Rejection(
-                503, "leaving", False, LEAVING_RETRY_AFTER_S
-            )
-            self._record_outcome(progress, rejection.reason, rejection.status)
-            sink.reject(rejection)
-            return
         task = self._tasks.spawn(self._serve_until_deadline(progress, sink))
+        item = self._open[progress] = _OpenCall(progress, sink, task)
         sink.on_close(task.cancel)
-        await asyncio.wait({task})
-        if task.cancelled():
+        try:
+            await asyncio.wait({task})
+        finally:
+            del self._open[progress]
+        if not task.cancelled():
+            rejection = task.result()
+        elif item.ended_for:
+            rejection = self._leaving_rejection(progress, item.ended_for)
+        else:
             self._record_outcome(progress, "caller_left", 0)
             return
-        rejection = task.result()
         if rejection is None:
             return
         self._record_outcome(
@@ -173,12 +220,34 @@
         else:
             sink.reject(rejection)
 
-    def _may_exit_during(self, call: messages.Call) -> bool:
-        """Whether this process may end before the call completes."""
-        needed_s = const.MIN_PLAIN_BEFORE_EXIT_S
-        if call.route.is_stream:
-            needed_s = const.MIN_STREAM_BEFORE_EXIT_S
-        return self._seconds_until_exit() < needed_s
+    def _may_complete(self, call: messages.Call) -> bool:
+        """Whether a call can complete before this process ends."""
+        exit_s = self._seconds_until_exit()
+        if exit_s == float("inf"):
+            return True
+        prospect = shutdown.Prospect(
+            call.deadline - self._now(),
+            self._durations.longest_s(call.route.name),
+            call.route.repeatable,
+            self._others_serve(),
+        )
+        return shutdown.may_complete(prospect, exit_s)
+
+    def _leaving_rejection(
+        self, progress: call_progress.Progress, reason: str
+    ) -> messages.Rejection:
+        """Rejects a call of a router that is shutting down.
+
+        If no other router serves, the caller may return once this one has been
+        replaced.
+        """
+        exit_s = max(0.0, self._seconds_until_exit())
+        limit_s = progress.call.deadline - self._now()
+        progress.last_error = f"limit {limit_s:.2f} s, exit in {exit_s:.2f} s"
+        retry_after_s = LEAVING_RETRY_AFTER_S
+        if not self._others_serve():
+            retry_after_s = self._time_until_room_s(exit_s)
+        return self._rejection_of(progress, reason, retry_after_s)
 
     async def _serve_until_deadline(
         self, progress: call_progress.Progress, sink: ports.Sink
@@ -231,6 +300,8 @@
         budget = self._budget_of(service)
         budget.record_request(self._now())
         while True:
+            if not sink.started and not self._may_complete(call):
+                return self._leaving_rejection(progress, REASON_LEAVING)
             if call.deadline - self._now() < const.MIN_ATTEMPT_S:
                 return self._rejection_of(progress, "no_time")
             rejection = await self._quarantine_rejection(progress, service)
@@ -717,6 +788,8 @@
     ) -> None:
         call = progress.call
         seconds = self._now() - call.received_at
+        if outcome in _FULL_LENGTH_OUTCOMES:
+            self._durations.record(call.route.name, seconds, self._now())
         self._metrics.count(f"requests.{outcome}")
         self._metrics.timing(f"whole.{call.route.name}", seconds)
         records.log_outcome(
--- a/bergamotmill/front/callers.py
+++ b/bergamotmill/front/callers.py
@@ -15,6 +15,7 @@
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.helpers import refusal
 from bergamotmill.helpers import run_state
+from bergamotmill.routing import shutdown
 from bergamotmill.streams import manager as stream_manager
 from bergamotmill.streams import messages as stream_messages
 from bergamotmill.streams import relay as stream_relay
@@ -26,6 +27,8 @@
 
 SERVICE_COST_TOKENS = 100
 IDEMPOTENT_ATTEMPTS = 2
+# A caller refused by a router that is shutting down may try another at once.
+SHUTDOWN_RETRY_AFTER_S = 0.02
 
 Route = Callable[
     ["CallerFront", http_server.Exchange, core.Customer], Awaitable[None]
@@ -46,6 +49,7 @@
         metrics: stats.Metrics,
         now: Callable[[], float],
         ids: id_source.IdSource,
+        others_serve: Callable[[], bool],
     ):
         self._gate = gate
         self.streams = streams
@@ -56,7 +60,11 @@
         self._now = now
         self._ids = ids
         self._configuration = core.empty_configuration()
-        self._draining = False
+        self._others_serve = others_serve
+        # When the process ends, monotonic; infinite while it serves.
+        self._exits_at = float("inf")
+        # By request class, and by service for calls to plain services.
+        self._durations = shutdown.LongestDurations()
 
     @property
     def configuration(self) -> core.Configuration:
@@ -68,9 +76,38 @@
         self._configuration = configuration
         self._metrics.gauge("release", float(configuration.number))
 
-    def start_draining(self) -> None:
-        """Reports not ready from now on; requests are still served."""
-        self._draining = True
+    def start_draining(self, exits_at: float) -> None:
+        """Reports not ready from now on.
+
+        Requests are still served if they can end in time.
+
+        Args:
+            exits_at: when the process ends, on the monotonic clock.
+        """
+        self._exits_at = exits_at
+
+    def _refusal_at_shutdown(
+        self, kind: str, time_left_s: float, may_repeat: bool
+    ) -> refusal.Refusal | None:
+        """Returns the refusal of a request that may outlast the process."""
+        exit_s = self._exits_at - self._now()
+        prospect = shutdown.Prospect(
+            time_left_s,
+            self._durations.longest_s(kind),
+            may_repeat,
+            self._others_serve(),
+        )
+        if shutdown.may_complete(prospect, exit_s):
+            return None
+        retry_after_s = SHUTDOWN_RETRY_AFTER_S
+        if not prospect.others_serve:
+            retry_after_s = max(retry_after_s, exit_s)
+        return refusal.Refusal(
+            503,
+            refusal.CODE_SHUTTING_DOWN,
+            "this router is shutting down",
+            retry_after_s=retry_after_s,
+        )
 
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Serves one request of a caller or of a health check."""
@@ -97,7 +134,9 @@
         await route(self, exchange, customer)
 
     def _send_readiness(self, exchange: http_server.Exchange) -> None:
-        ready = self._configuration.number > 0 and not self._draining
+        ready = self._configuration.number > 0 and (
+            self._exits_at == float("inf")
+        )
         exchange.respond_json(
             200 if ready else 503,
             {"ready": ready, "release": self._configuration.number},
@@ -166,9 +205,17 @@
         if event_id is not None:
             await self._resume(exchange, request, event_id)
             return
-        refused = await self._gate.check_rate_limit(
-            customer, request.request_class
-        )
+        kind = f"class {request.request_class.name}"
+        refused = None
+        if not request.stream:
+            # A stream that is cut goes on at another router.
+            refused = self._refusal_at_shutdown(
+                kind, request.deadline - self._now(), False
+            )
+        if refused is None:
+            refused = await self._gate.check_rate_limit(
+                customer, request.request_class
+            )
         if refused is not None:
             responses.send_refusal(exchange, refused)
             return
@@ -186,7 +233,9 @@
         try:
             await self._run_generation(exchange, request)
         finally:
-            self._gate.release(self._now() - started_at)
+            ended_at = self._now()
+            self._gate.release(ended_at - started_at)
+            self._durations.record(kind, ended_at - started_at, ended_at)
 
     async def _run_generation(
         self,
@@ -283,13 +332,19 @@
         if time_left_s.is_err():
             responses.send_refusal(exchange, time_left_s.err())
             return
-        refused = await self._gate.check_rate_limit(
-            customer, request_class.ok()
+        is_idempotent = request.method in client.service.idempotent_methods
+        kind = f"service {name}"
+        refused = self._refusal_at_shutdown(
+            kind, time_left_s.ok(), is_idempotent
         )
+        if refused is None:
+            refused = await self._gate.check_rate_limit(
+                customer, request_class.ok()
+            )
         if refused is not None:
             responses.send_refusal(exchange, refused)
             return
-        is_idempotent = request.method in client.service.idempotent_methods
+        started_at = self._now()
         call = plain_config.ServiceCall(
             self._ids.new(),
             customer.name,
@@ -312,6 +367,8 @@
             await self._submit_filing(
                 exchange, customer, name, "/" + target, time_left_s.ok()
             )
+        ended_at = self._now()
+        self._durations.record(kind, ended_at - started_at, ended_at)
 
     async def _call_idempotent(
         self,
--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -278,9 +278,17 @@
             self._transport.abort()
 
     def close_when_idle(self) -> None:
-        """Closes the connection if no request is being handled."""
-        if self._idle and self._transport is not None:
-            self._transport.close()
+        """Closes the connection unless a request is received or handled."""
+        if self._transport is None or not self._idle or self._is_receiving():
+            return
+        self._transport.close()
+
+    def _is_receiving(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return (
+            self._h11.their_state is not h11.IDLE
+            or self._h11.trailing_data[0] != b""
+        )
 
     async def _serve(self) -> None:
         try:
@@ -459,8 +467,8 @@
     async def drain(self, timeout_s: float) -> bool:
         """Stops listening and waits until all connections have closed.
 
-        Idle connections are closed; requests that are being handled may
-        complete.
+        Idle connections are closed; requests that are being received or handled
+        may complete.
 
         Returns:
             Whether all connections closed within `timeout_s`.
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -278,6 +278,7 @@
             self._metrics,
             now,
             self._ids,
+            self._others_serve,
         )
         own = settings.router
         self.status = router_status.Status(
@@ -386,6 +387,11 @@
         )
         return own in candidates
 
+    def _others_serve(self) -> bool:
+        """Whether callers are sent to other routers."""
+        own = self._settings.router.name
+        return any(item.name != own for item in self.liveness.named())
+
     def _notice_receivers(self, customer_name: str) -> list[str]:
         """Returns the routers that receive notices of a customer's requests."""
         own = self._settings.router.name
@@ -455,7 +461,8 @@
             TimeoutError: filings did not finish within the deadline.
         """
         shutdown = self._settings.shutdown
-        self.front.start_draining()
+        serves_for_s = shutdown.address_lifetime_s + shutdown.deadline_s
+        self.front.start_draining(self._clock.monotonic() + serves_for_s)
         self.membership.leave()
         self.liveness.announce()
         await asyncio.sleep(shutdown.address_lifetime_s)
--- a/tests/streams/test_streams.py
+++ b/tests/streams/test_streams.py
@@ -345,6 +345,41 @@
 
         self.run_cluster(scenario)
 
+    # LOST, issue 44, own interface: a call that may outlast the process is not
+    # taken, as it would be cut.
+    def test_stopping_router_refuses_calls_that_may_outlast_it(self):
+        async def scenario():
+            router = self.cluster.routers[1]
+            host = cluster.router_host(1)
+            shutdown = asyncio.create_task(
+                self.cluster.run_as_host(host, router.shut_down())
+            )
+            await asyncio.sleep(1.0)
+            exits_in_s = 32.0
+            for limit_s, status in ((exits_in_s, 503), (exits_in_s - 1, 200)):
+                response = await self.complete_unstreamed(1, limit_s)
+                self.assertEqual(response.status, status)
+            await shutdown
+
+        self.run_cluster(scenario)
+
+    async def complete_unstreamed(self, router, limit_s):
+        """Sends a request for a whole answer; returns the answer's head."""
+        headers = [
+            (b"authorization", b"Bearer key-of-one"),
+            (b"x-deadline-ms", str(int(limit_s * 1000)).encode()),
+        ]
+        head, _ = await http_client.fetch(
+            http_client.Pool(),
+            f"{cluster.router_host(router)}:80",
+            "POST",
+            "/v1/chat/completions",
+            headers,
+            json.dumps({**self.chat(), "stream": False}).encode(),
+            timeout_s=40.0,
+        )
+        return head
+
     def test_leaving_engine_gets_no_new_requests(self):
         async def scenario():
             await self.caller.stream(self.chat(), 0)
