--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -193,14 +193,17 @@
 STORE_OVERDUE_S = 0.4
 # In a data centre of up to this many routers, all of them read the store.
 ALL_READERS_MAX_ROUTERS = 6
-# Readers send heartbeats to the other routers of their data centre, which read
-# the store themselves after two missed ones. The shortest time limit for a
-# change to be in force is two seconds.
+# A reader publishes after each answer of the store, and this often while it
+# gets none.
 READER_HEARTBEAT_S = 0.6
-READER_TIMEOUT_S = 1.4
-# The second reader of a data centre reads the store after one missed heartbeat,
-# so that changes still reach the others before their timeout.
-SECOND_READER_TIMEOUT_S = 0.8
+# A router reads the store itself when its documents have not been current for
+# this time, whatever its readers say: longer than a watch of a reader, its
+# pause and the publication take. The shortest time limit for a change to be in
+# force is two seconds.
+READER_TIMEOUT_S = 1.3
+# The second reader of a data centre reads the store earlier, so that changes
+# still reach the others before their timeout.
+SECOND_READER_TIMEOUT_S = 0.9
 # A reader that has reported that the store does not answer is passed over until
 # it reports answers, or for this time.
 READER_LOSS_MEMORY_S = 30.0
@@ -214,6 +217,7 @@
 # How often a router that is not a reader checks this timeout, and whether it
 # has become a reader.
 READER_CHECK_PERIOD_S = 0.2
+READER_CHECK_MIN_S = 0.02
 # Pause of a reader after a call to the store that returned changes. It is
 # longer where the reader publishes changes, as each call then costs a message
 # to each receiver, but still lets changes come into force within two seconds.
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -155,8 +155,12 @@
         self._store_readers = readers
         self._own_name = own_name
         self._tasks = background.Tasks()
-        # When a reader last published to this router.
-        self._last_publication_at = float("-inf")
+        # When the documents were last current, as publications say.
+        self._published_at = float("-inf")
+        # When this router last published.
+        self._last_sent_at = float("-inf")
+        # Whether this router has ever read a snapshot.
+        self._has_snapshot = False
         self._store = store
         self._prefix = prefix
         self._peers = peers
@@ -274,15 +278,13 @@
     async def run(self) -> None:
         """Reads the store forever, except while readers publish to this router.
 
-        Every router reads a snapshot first, also after a watch has failed.
+        Every router reads a snapshot first. A reader does so after a watch has
+        failed, too.
         """
         is_new_reader = False
         while True:
-            if (
-                self._watch_revision != NEEDS_SNAPSHOT
-                and self._receives_publications()
-            ):
-                await asyncio.sleep(const.READER_CHECK_PERIOD_S)
+            if self._may_rely_on_readers():
+                await asyncio.sleep(self._publication_time_left_s())
                 is_new_reader = True
                 continue
             after_revision = self._revision
@@ -295,7 +297,7 @@
             if not await self._read_store(is_watch, wait_s):
                 await asyncio.sleep(self._backoff.next_delay())
                 continue
-            if self._revision > after_revision:
+            if self._store_readers.is_reader():
                 self._publish(after_revision)
             if not is_watch or self._now() - began_at < wait_s:
                 # The next call returns the changes made during this delay.
@@ -317,29 +319,58 @@
             self._overdue = False
 
     def _on_overdue(self) -> None:
-        """Tells the routers that rely on this one that they should not."""
+        """Tells the routers that rely on this one that they should not.
+
+        A router that is not a reader says so once, so that none relies on it.
+        """
         self._overdue = True
-        self._publish(self._revision)
+        if self._store_ok or self._store_readers.is_reader():
+            self._publish(self._revision)
+
+    def _may_rely_on_readers(self) -> bool:
+        """Whether this router may leave reading the store to readers."""
+        if not self._has_snapshot or not self._receives_publications():
+            return False
+        return (
+            self._watch_revision != NEEDS_SNAPSHOT
+            or not self._store_readers.is_reader()
+        )
 
     def _receives_publications(self) -> bool:
-        """Whether readers of the data centre publish changes to this router."""
+        """Whether readers of the data centre keep this router up to date."""
+        timeout_s = self._store_readers.publication_timeout_s()
+        return self._now() - self._published_at <= timeout_s
+
+    def _publication_time_left_s(self) -> float:
+        """Returns after what time to check whether publications have ended."""
         timeout_s = self._store_readers.publication_timeout_s()
-        return self._now() - self._last_publication_at <= timeout_s
+        left_s = self._published_at + timeout_s - self._now()
+        return min(
+            max(left_s, const.READER_CHECK_MIN_S), const.READER_CHECK_PERIOD_S
+        )
 
     def _is_replaced(self) -> bool:
         """Whether another reader has published answers of the store lately."""
-        since_s = self._now() - self._last_publication_at
+        since_s = self._now() - self._published_at
         return since_s <= const.SECOND_READER_TIMEOUT_S
 
     async def run_heartbeats(self) -> None:
         """Publishes regularly while this router is a reader, forever.
 
-        Other routers read the store themselves when their readers are silent.
+        A reader publishes after each answer of the store; this repeats that it
+        gets none.
         """
         while True:
-            await asyncio.sleep(const.READER_HEARTBEAT_S)
+            due_s = self._last_sent_at + const.READER_HEARTBEAT_S - self._now()
+            await asyncio.sleep(
+                max(const.READER_CHECK_MIN_S, due_s)
+                if due_s > 0
+                else const.READER_HEARTBEAT_S
+            )
+            since_s = self._now() - self._last_sent_at
             if (
-                self._store_readers.is_reader()
+                since_s >= const.READER_HEARTBEAT_S
+                and self._store_readers.is_reader()
                 and not self._receives_publications()
             ):
                 self._publish(self._revision)
@@ -351,16 +382,20 @@
         one has no answers from the store and another reader has.
         """
         names = self._store_readers.publish_targets()
+        if not names:
+            return
         store_answers = self._store_ok and not self._overdue
         self._store_readers.note_answers(self._own_name, store_answers)
-        if not names or not store_answers and self._is_replaced():
+        if not store_answers and self._is_replaced():
             return
+        self._last_sent_at = self._now()
         message = peer_pb2.Publication(
             sender=self._own_name,
             documents=self._documents_after(after_revision),
             after_revision=after_revision,
             revision=self._revision,
             store_answers=store_answers,
+            age_ms=_to_ms(self.staleness_s()) if store_answers else 0,
         )
         for group in self._publish_groups(names):
             self._tasks.spawn(self._publish_to(group, message))
@@ -421,16 +456,18 @@
         else:
             self.note_peer_revision(message.sender, message.revision)
         is_reader = self._store_readers.is_reader()
-        if message.store_answers or not is_reader:
-            self._last_publication_at = self._now()
-        elif not self._overdue:
+        current_at = self._now() - message.age_ms / 1000
+        is_complete = self._revision >= message.revision
+        if message.store_answers and is_complete:
+            self._published_at = max(self._published_at, current_at)
+        elif is_reader and not message.store_answers and not self._overdue:
             # A reader takes over at once from one that cannot reach the store.
-            self._last_publication_at = float("-inf")
+            self._published_at = float("-inf")
         if not is_reader or self._receives_publications():
-            if message.store_answers:
-                self._store_answered()
-            else:
+            if not message.store_answers:
                 self._store_failed(f"reported unavailable by {message.sender}")
+            elif is_complete:
+                self._store_answered(current_at)
         return peer_pb2.PublicationReply()
 
     async def close(self) -> None:
@@ -444,7 +481,7 @@
             self._store_failed(reading.err().reason)
             return False
         self._snapshot_delay_s = self._now() - self._changes_missed_since
-        self._store_answered()
+        self._store_answered(self._now())
         snapshot = reading.ok()
         self._enter_era(snapshot.revision)
         present = set()
@@ -459,6 +496,7 @@
                 if known.value is not None:
                     self._adopt(deleted, SOURCE_STORE)
         self._snapshot_delay_s = 0.0
+        self._has_snapshot = True
         self._changes_missed_since = float("inf")
         self._watch_revision = snapshot.revision
         self._revision = max(self._revision, snapshot.revision)
@@ -485,7 +523,7 @@
         )
         if reading.is_err():
             return self._watch_failed(reading)
-        self._store_answered()
+        self._store_answered(self._now())
         changes = reading.ok()
         for event in changes.events:
             entry = event.entry
@@ -511,12 +549,16 @@
         self._watch_revision = NEEDS_SNAPSHOT
         return False
 
-    def _store_answered(self) -> None:
-        now = self._now()
-        self._confirmed_at = now
+    def _store_answered(self, current_at: float) -> None:
+        """Records an answer of the store, to this router or to a reader.
+
+        Args:
+            current_at: when the documents that it gave were current.
+        """
+        self._confirmed_at = max(self._confirmed_at, current_at)
         if not self._store_ok:
             self._store_ok = True
-            self._store_ok_since = now
+            self._store_ok_since = self._now()
             self._backoff.reset()
             decisions.record(
                 "store_back",
@@ -669,8 +711,9 @@
         if self._prompt_entries is not None:
             for notice in reply.quarantine:
                 self._prompt_entries.on_notice(notice)
-        if reply.revision >= self._revision:
-            self._confirmed_at = self._now()
+        if reply.revision >= self._revision and reply.HasField("age_ms"):
+            current_at = self._now() - reply.age_ms / 1000
+            self._confirmed_at = max(self._confirmed_at, current_at)
         self._revision = max(self._revision, reply.revision)
 
     def _adopt_all(
@@ -699,6 +742,7 @@
             revision=self._revision,
             ages=[] if self._ages is None else self._ages.known_ages(),
             quarantine=[] if entries is None else entries.newest_notices(),
+            age_ms=_to_ms(self.staleness_s()),
         )
 
     def _documents_after(self, revision: int) -> list[peer_pb2.Document]:
@@ -710,6 +754,11 @@
         ]
 
 
+def _to_ms(seconds: float) -> int | None:
+    """Returns whole milliseconds, rounded up; None for an infinite time."""
+    return math.ceil(seconds * 1000) if math.isfinite(seconds) else None
+
+
 def _to_proto(document: Document) -> peer_pb2.Document:
     return peer_pb2.Document(
         key=document.key,
--- a/tests/dispatch/test_readers.py
+++ b/tests/dispatch/test_readers.py
@@ -6,9 +6,13 @@
 
 import result
 
+from bergamotmill.dispatch import readers
+from bergamotmill.helpers import http_errors
 from bergamotmill.platform import const
+from bergamotmill.proto import peer_pb2
 from bergamotmill.standin.platform import fleet
 from bergamotmill.standin.platform import store as store_standin
+from bergamotmill.util import rendezvous
 from tests import platform_case
 
 ROUTERS = 16
@@ -17,6 +21,13 @@
 APPLY_S = 2.0
 
 
+async def refuse(*arguments):
+    """Fails a call to the store as a connection does that is reset."""
+    del arguments
+    await asyncio.sleep(0.002)
+    raise http_errors.HttpError("reset")
+
+
 class ReadersTest(platform_case.PlatformCase):
     def run_large_fleet(self, scenario):
         async def run_after_start():
@@ -163,6 +174,104 @@
 
         self.run_large_fleet(scenario)
 
+    def turn_away(self, indices, way):
+        """Has the store serve some routers no longer."""
+        for index in indices:
+            if way == "silence":
+                self.network.partition(
+                    fleet.STORE_HOST, fleet.router_host(index)
+                )
+            else:
+                self.fleet.routers[index]._store._send = refuse
+
+    async def versions_in_force_s(self, indices, version):
+        """Returns when some routers all have a version, from its ack on."""
+        acked_at = self.now()
+        while self.now() < acked_at + 8.0:
+            routers = [self.fleet.routers[index] for index in indices]
+            if all(r.fleet.catalog.version >= version for r in routers):
+                break
+            await asyncio.sleep(0.02)
+        return self.now() - acked_at
+
+    # CONFIG, issue 44: routers that the store served waited for readers that it
+    # had turned away, one pair of readers after the other.
+    def test_change_is_in_force_in_time_whichever_third_loses_the_store(self):
+        async def scenario():
+            self.network.heal()
+            await asyncio.sleep(6.0)
+            names = {f"vm-{index}" for index in self.fleet.routers}
+            order = rendezvous.top(
+                readers.RENDEZVOUS_KEY, names, self.fleet.sizes.routers
+            )
+            indices = [int(name[3:]) for name in order]
+            count = int(0.35 * len(indices))
+            lost = indices[:count]
+            if self.picks == "random":
+                lost = self.fleet.rng.sample(indices, count)
+            self.turn_away(lost, self.way)
+            await asyncio.sleep(self.delay_s)
+            await self.publish_configuration(2)
+            others = [index for index in indices if index not in lost]
+            worst_s = await self.versions_in_force_s(others, 2)
+            self.assertLess(worst_s, APPLY_S)
+            # Some time later, too.
+            await self.publish_configuration(3)
+            worst_s = await self.versions_in_force_s(others, 3)
+            self.assertLess(worst_s, APPLY_S)
+
+        for self.way in ("silence", "refusal"):
+            for routers, self.picks, self.delay_s in (
+                (20, "first", 0.05),
+                (20, "first", 0.3),
+                (20, "first", 0.9),
+                (20, "random", 0.1),
+                (8, "first", 0.1),
+                (33, "first", 0.1),
+            ):
+                with self.subTest(self.way, n=routers, after=self.delay_s):
+                    self.run_fleet(
+                        scenario, routers=routers, data_centres=1, engines=1
+                    )
+
+    # A router that its readers leave without news reads the store itself.
+    def test_report_that_the_store_does_not_answer_is_no_news(self):
+        async def scenario():
+            await asyncio.sleep(6.0)
+            index = next(
+                index
+                for index in self.fleet.routers
+                if index not in self.reader_indices()
+            )
+            router = self.fleet.routers[index]
+            report = peer_pb2.Publication(
+                sender="vm-99", revision=router.feed.revision
+            )
+            for reader in self.reader_indices():
+                self.network.partition(
+                    fleet.router_host(reader), fleet.router_host(index)
+                )
+            for _ in range(12):
+                await router.feed.on_publish(report)
+                await asyncio.sleep(0.2)
+            self.assertLess(router.feed.staleness_s(), APPLY_S)
+
+        self.run_large_fleet(scenario)
+
+    # What a peer that is out of date itself says does not make this router's
+    # documents current.
+    def test_documents_of_an_outdated_peer_are_not_current(self):
+        async def scenario():
+            await asyncio.sleep(3.0)
+            self.fleet.store.mode = store_standin.Mode.RESET
+            await asyncio.sleep(4.0)
+            feed = self.fleet.routers[0].feed
+            self.assertGreater(feed.staleness_s(), 3.0)
+            await feed.pull("vm-1")
+            self.assertGreater(feed.staleness_s(), 3.0)
+
+        self.run_fleet(scenario)
+
     # CONFIG, issue 26: a reader took 0.9 s to publish to 25 routers by itself.
     def test_reader_of_a_large_data_centre_sends_to_few_routers(self):
         async def scenario():
