--- a/bergamotmill/control/order_lease.py
+++ b/bergamotmill/control/order_lease.py
@@ -55,6 +55,11 @@
         """The fencing token of the orders; 0 without a lease."""
         return self._fencing
 
+    @property
+    def acquired_at(self) -> float:
+        """Boot time at which the lease was acquired."""
+        return self._acquired_at
+
     def time_left(self) -> float:
         """Returns the seconds for which this router may safely send orders."""
         if not self._fencing:
@@ -107,3 +112,7 @@
         if self._fencing:
             self._fencing = 0
             await self._store.revoke(self._lease_id)
+
+    def abandon(self) -> None:
+        """Renews the lease no longer, so that it runs out."""
+        self._fencing = 0
--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -246,12 +246,10 @@
 RESTORE_QUERY_S = 5.0
 
 # Lease for giving orders to engines. No order is given in the last
-# ORDER_LEASE_MARGIN_S, and a new holder waits ORDER_LEASE_SETTLE_S for the last
-# orders of an older one to arrive.
+# ORDER_LEASE_MARGIN_S.
 ORDER_LEASE_S = 3.0
 ORDER_LEASE_RENEW_S = 0.7
 ORDER_LEASE_MARGIN_S = 1.0
-ORDER_LEASE_SETTLE_S = 2.2
 # Added to the required time between orders of two holders to one engine.
 HOLDER_GAP_MARGIN_S = 0.2
 # Time between the notice of an order to the peers and the order itself, in
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -27,6 +27,7 @@
 from bergamotmill.dispatch import engine_groups
 from bergamotmill.dispatch import fleet as fleet_state
 from bergamotmill.dispatch import notices
+from bergamotmill.dispatch import order_gap
 from bergamotmill.dispatch import peer_messages
 from bergamotmill.dispatch import placement
 from bergamotmill.dispatch import placement_client
@@ -224,9 +225,7 @@
             f"{own.name}.{self._incarnation}".encode(),
             self._clock,
             order_lease.LeaseTerms(
-                const.ORDER_LEASE_S,
-                const.ORDER_LEASE_MARGIN_S,
-                const.ORDER_LEASE_SETTLE_S,
+                const.ORDER_LEASE_S, const.ORDER_LEASE_MARGIN_S
             ),
         )
         self.rollout = rollout.Rollout(
@@ -236,7 +235,11 @@
             rollout.RolloutContext(
                 self._may_acquire_lease,
                 self._announce_weights,
-                self._store_handover,
+                order_gap.HandoverRecord(
+                    self._store,
+                    self._dialect.handover_key,
+                    self._clock.boottime,
+                ),
                 lambda: self.feed.since_restore_s,
                 self._settings.weights.min_order_gap_s,
                 self._settings.weights.old_weights_max_age_s,
@@ -552,10 +555,6 @@
             notice.held,
         )
 
-    async def _store_handover(self, value: bytes) -> None:
-        stored = await self._store.put(self._dialect.handover_key, value, None)
-        decisions.record("handover", kept=stored.is_ok())
-
     def _on_document(self, document: documents.Document, source: str) -> None:
         self.quarantine.on_document(
             document.key, document.value, document.revision, source
--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -11,7 +11,6 @@
 from collections.abc import Awaitable, Callable, Mapping
 import dataclasses
 import enum
-import json
 import math
 import random
 from typing import Protocol
@@ -22,9 +21,9 @@
 from bergamotmill.dispatch import const
 from bergamotmill.dispatch import fleet as fleet_state
 from bergamotmill.dispatch import messages
+from bergamotmill.dispatch import order_gap
 from bergamotmill.dispatch import upstreams
 from bergamotmill.helpers import decisions
-from bergamotmill.helpers import json_text
 from bergamotmill.routing import stated_limit
 from bergamotmill.util import clock as clocks
 from bergamotmill.util import tasks as background
@@ -153,43 +152,6 @@
 AnnounceWeights = Callable[[WeightsAnnouncement], Awaitable[None]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Handover:
-    """The record that a lease holder stores for its successor on shutdown.
-
-    Attributes:
-        fencing: fencing token of the lease holder that wrote the record.
-        ages_s: seconds since its last order to each engine, by engine name.
-    """
-
-    fencing: int
-    ages_s: Mapping[str, float]
-
-    def encode(self) -> bytes:
-        """Encodes the record as JSON."""
-        return json.dumps(dataclasses.asdict(self)).encode()
-
-
-def parse_handover(value: bytes) -> Handover | None:
-    """Decodes a handover record; None if it is malformed."""
-    try:
-        fields = json_text.loads(value)
-        ages = {
-            str(name): json_text.finite(age_s)
-            for name, age_s in fields["ages_s"].items()
-        }
-        return Handover(json_text.count(fields["fencing"]), ages)
-    except (
-        ValueError,
-        KeyError,
-        TypeError,
-        AttributeError,
-        OverflowError,
-    ) as err:
-        decisions.record("handover_unreadable", detail=repr(err))
-        return None
-
-
 class OrderLink(Protocol):
     """The part of the upstream client that deals with weights orders."""
 
@@ -269,7 +231,7 @@
         may_acquire_lease: whether the lease seems to be free and this router
             is one of those that try to acquire it.
         announce: sends a weights announcement to the other routers.
-        store_handover: stores the handover record for the next lease holder.
+        handover: the record for the next lease holder.
         since_restore_s: returns seconds since the store was restored from an
             older copy, which loses the lease; infinite if it never was.
         min_order_gap_s: minimum time between orders of two lease holders to
@@ -280,7 +242,7 @@
 
     may_acquire_lease: Callable[[], bool]
     announce: AnnounceWeights
-    store_handover: Callable[[bytes], Awaitable[None]]
+    handover: order_gap.HandoverRecord
     since_restore_s: Callable[[], float]
     min_order_gap_s: float
     old_weights_max_age_s: float = math.inf
@@ -313,9 +275,12 @@
         self._link = link
         self._may_acquire_lease = context.may_acquire_lease
         self._announce = context.announce
-        self._store_handover = context.store_handover
+        self._handover = context.handover
         self._since_restore_s = context.since_restore_s
         self._min_order_gap_s = context.min_order_gap_s
+        self._gap = order_gap.OrderGap(
+            context.min_order_gap_s, const.ORDER_LEASE_MARGIN_S, clock.boottime
+        )
         self._old_weights_max_age_s = context.old_weights_max_age_s
         self._clock = clock
         self._rng = rng
@@ -331,11 +296,10 @@
         self._lease_released = asyncio.Event()
         self._held = False
         self._closing = False
-        # When this router last sent an order to each engine (boot time).
-        self._last_order_at: dict[str, float] = {}
-        # The latest handover record and when it arrived (boot time).
-        self._handover: tuple[Handover, float] | None = None
-        self._previous_fencing = 0
+        # Highest fencing token of another lease holder that was seen.
+        self._seen_fencing = 0
+        # Whether the handover record may name this router's present lease.
+        self._may_be_recorded = False
         fleet.add_weights_listener(self._wake.set)
 
     @property
@@ -353,15 +317,13 @@
         """
         if held:
             if revision != self._lease.fencing:
-                self._previous_fencing = revision
+                self._seen_fencing = max(self._seen_fencing, revision)
         else:
             self._lease_released.set()
 
     def on_handover(self, value: bytes) -> None:
         """Handles a handover record that appears in the store."""
-        handover = parse_handover(value)
-        if handover is not None:
-            self._handover = (handover, self._clock.boottime())
+        self._handover.note_seen(value)
 
     async def run_lease(self) -> None:
         """Acquires the lease when it is free, and renews it until close()."""
@@ -370,8 +332,10 @@
                 held = await self._lease.acquire_or_renew()
                 if self._closing:
                     # close() ran while the lease was being acquired.
-                    await self._lease.release()
+                    await self._give_up_lease()
                     return
+                if held and self._gap.fencing != self._lease.fencing:
+                    await self._take_over()
                 if held != self._held:
                     decisions.record(
                         "lease", held=held, fencing=self._lease.fencing
@@ -387,13 +351,54 @@
             except TimeoutError:
                 continue
 
+    async def _take_over(self) -> None:
+        """Reads what earlier holders did and records that this one follows.
+
+        No order is sent before that. It is tried again at the next renewal if
+        the store does not answer.
+        """
+        fencing = self._lease.fencing
+        acquired_at = self._lease.acquired_at
+        reading = await self._handover.read()
+        if reading.is_err():
+            return
+        handover, received_at = reading.ok()
+        if handover is not None and handover.fencing == fencing:
+            # The write of an earlier try took effect.
+            self._gap.resume(fencing)
+            return
+        self._gap.take_over(
+            fencing,
+            acquired_at,
+            order_gap.Predecessor(handover, received_at, self._seen_fencing),
+        )
+        self._may_be_recorded = True
+        if not await self._handover.write(self._gap.handover(False)):
+            self._gap.drop()
+
+    async def _give_up_lease(self) -> None:
+        """Records the last orders, then releases the lease.
+
+        A lease whose record was not certainly written is left to run out, as
+        the next holder takes it then.
+        """
+        fencing = self._lease.fencing
+        if not fencing:
+            return
+        if self._gap.fencing == fencing:
+            recorded = await self._handover.write(self._gap.handover(True))
+        else:
+            recorded = not self._may_be_recorded
+        self._gap.drop()
+        self._may_be_recorded = False
+        if recorded:
+            await self._lease.release()
+        else:
+            self._lease.abandon()
+
     def _order_gap_passed(self, name: str) -> bool:
         """Whether earlier lease holders' orders to an engine are old enough.
 
-        They are old enough once the takeover wait is over. Before that, the
-        handover record of the previous lease holder shows when it last sent
-        the engine an order; it sent none to engines that are not listed.
-
         A restore of the store ends leases without their holders' knowledge. A
         holder that has not learned of it sends orders until its lease would
         have expired.
@@ -401,18 +406,7 @@
         lease_end_s = const.ORDER_LEASE_S - const.ORDER_LEASE_MARGIN_S
         if self._since_restore_s() < lease_end_s + self._min_order_gap_s:
             return False
-        if self._lease.takeover_wait_over():
-            return True
-        if self._handover is None:
-            return False
-        handover, received_at = self._handover
-        if handover.fencing != self._previous_fencing:
-            return False
-        age_s = handover.ages_s.get(name, self._min_order_gap_s)
-        return (
-            age_s + self._clock.boottime() - received_at
-            >= self._min_order_gap_s
-        )
+        return self._gap.has_passed(name)
 
     async def run(self) -> None:
         """Starts updates that are due, forever."""
@@ -423,7 +417,7 @@
             pause_s = const.ORDER_LEASE_RENEW_S
             # During the takeover wait, the order gap of an engine can end at
             # any time, and no event signals it.
-            if self.holds_lease and not self._lease.takeover_wait_over():
+            if self.holds_lease and not self._gap.is_settled:
                 pause_s = STATUS_POLL_PERIOD_S
             try:
                 async with asyncio.timeout(pause_s):
@@ -545,7 +539,7 @@
                 answer = await self._send_order(engine, model, version, status)
                 ordered_at = now
                 if answer is OrderAnswer.FENCED:
-                    await self._lease.release()
+                    await self._give_up_lease()
                     return
                 if answer is OrderAnswer.OTHER:
                     return
@@ -572,8 +566,10 @@
         await asyncio.sleep(const.ORDER_NOTICE_LEAD_S)
         # Checked right before sending: the process may have been suspended
         # since the last check, and the lease may have expired meanwhile.
-        if self._lease.time_left() <= 0 or engine.pause_left_s(
-            self._clock.monotonic()
+        if (
+            self._lease.time_left() <= 0
+            or not self._gap.has_passed(engine.entry.name)
+            or engine.pause_left_s(self._clock.monotonic())
         ):
             return OrderAnswer.OTHER
         order = WeightsOrder(
@@ -586,9 +582,12 @@
             self._superseded_for_s(engine, model)
             >= self._old_weights_max_age_s * const.LATE_ORDER_FRACTION,
         )
-        self._last_order_at[engine.entry.name] = self._clock.boottime()
         sent_at = self._clock.boottime()
-        reply = await self._link.send_order(order)
+        self._gap.note_sending(engine.entry.name)
+        try:
+            reply = await self._link.send_order(order)
+        finally:
+            self._gap.note_sent(engine.entry.name)
         self._fleet.apply_signals(engine, reply.signals, sent_at)
         answer = reply.answer
         decisions.record(
@@ -618,12 +617,6 @@
 
         The lease is not acquired again afterwards.
         """
-        held = self.holds_lease
         self._closing = True
         await self._tasks.close()
-        if held:
-            now = self._clock.boottime()
-            ages = {name: now - at for name, at in self._last_order_at.items()}
-            handover = Handover(self._lease.fencing, ages)
-            await self._store_handover(handover.encode())
-        await self._lease.release()
+        await self._give_up_lease()
--- a/tests/dispatch/test_rollout.py
+++ b/tests/dispatch/test_rollout.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 
 from bergamotmill.dispatch import const
+from bergamotmill.dispatch import order_gap
 from bergamotmill.dispatch import rollout
 from bergamotmill.dispatch import upstreams
 
@@ -98,7 +99,6 @@
         started = []
         engine = make_engine("e0", 1)
         lease = mock.Mock()
-        lease.takeover_wait_over.return_value = True
         fleet = mock.Mock()
         fleet.upstreams.by_name = {"e0": engine}
         fleet.target_versions = {"m": 2}
@@ -115,6 +115,8 @@
         updates = rollout.Rollout(
             lease, fleet, mock.Mock(), context, clock, mock.Mock()
         )
+        updates._gap = mock.Mock()
+        updates._gap.has_passed.return_value = True
         updates._update_engine = lambda *update: update
         updates._tasks.spawn = started.append
         updates.start_due_updates()
@@ -132,12 +134,12 @@
 
 class HandoverTest(unittest.TestCase):
     def test_encoded_record_decodes_to_an_equal_record(self):
-        handover = rollout.Handover(7, {"e1": 1.5})
-        self.assertEqual(rollout.parse_handover(handover.encode()), handover)
+        handover = order_gap.Handover(7, {"e1": 1.5})
+        self.assertEqual(order_gap.parse_handover(handover.encode()), handover)
 
     @hypothesis.given(strategies.binary())
     def test_arbitrary_bytes_do_not_raise(self, value):
-        rollout.parse_handover(value)
+        order_gap.parse_handover(value)
 
 
 if __name__ == "__main__":
