--- a/bergamotmill/control/liveness.py
+++ b/bergamotmill/control/liveness.py
@@ -15,6 +15,7 @@
 import dataclasses
 import math
 import random
+from typing import Protocol
 
 from bergamotmill.control import const
 from bergamotmill.control import members
@@ -110,6 +111,16 @@
         self._timers.clear()
 
 
+class StoreReports(Protocol):
+    """What routers tell each other of the platform's store."""
+
+    def report(self) -> peer_pb2.StoreReport | None:
+        """Returns what this router knows; None for nothing."""
+
+    def merge(self, report: peer_pb2.StoreReport) -> None:
+        """Adds what another router knows."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Links:
     """Connections of the liveness monitor.
@@ -118,10 +129,12 @@
         send: sends a message, which may be lost, to a router by name.
         checks_by_calls: whether routers are checked by calls, as there are no
             datagrams.
+        store_reports: reports on the store, which checks carry; None for none.
     """
 
     send: SendMessage
     checks_by_calls: bool = False
+    store_reports: StoreReports | None = None
 
 
 class LivenessMonitor:
@@ -292,6 +305,9 @@
             is_answer=is_answer,
             alive=self._membership.alive_digest(),
         )
+        reports = self._links.store_reports
+        if reports is not None and (report := reports.report()) is not None:
+            check.store.CopyFrom(report)
         receiver = self._membership.known[name]
         if receiver.incarnation > 0 and not receiver.is_serving:
             check.receiver.CopyFrom(receiver.to_proto())
@@ -305,6 +321,8 @@
             # it.
             return
         self._watch.note_heard(check.sender, self._now())
+        if check.HasField("store") and self._links.store_reports is not None:
+            self._links.store_reports.merge(check.store)
         self._membership.note_release(check.sender, check.release_number)
         update = dataclasses.replace(
             known,
--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -13,9 +13,8 @@
 # Entries that expired in a store outage are written again about two seconds
 # after the store is back.
 UPSTREAM_ABSENCE_GRACE_S = 2.3
-# The store counts as unstable for this long after it has recovered from a
-# failed call.
-STORE_UNSTABLE_S = 3.0
+# How often it is checked whether that can still be so.
+ABSENCE_CHECK_PERIOD_S = 0.2
 
 # Prefill cost model, from the data sheet of the engines in service. The rate
 # allows for the time that each step spends on decoding running streams.
@@ -228,6 +227,8 @@
 # Documents that have not been confirmed for this time may be out of date:
 # longer than a watch that works, and its pause, take.
 DOCUMENTS_STALE_S = 2.5
+# The same while the store does not answer this router.
+DOCUMENTS_STALE_UNANSWERED_S = 1.0
 FEED_BACKOFF_MIN_S = 0.05
 FEED_BACKOFF_MAX_S = 0.5
 # A gap of at least MIN_SUSPENSION_S between two ticks shows that the process
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -204,7 +204,7 @@
         self.membership.set_newer_release_callback(self.feed.note_peer_revision)
         self.liveness = liveness.LivenessMonitor(
             self.membership,
-            liveness.Links(self._messages.send),
+            liveness.Links(self._messages.send, store_reports=self.feed.health),
             self._rng,
             self._clock.boottime,
         )
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -26,6 +26,7 @@
 
 from bergamotmill.control import peers as peer_links
 from bergamotmill.dispatch import const
+from bergamotmill.dispatch import store_health
 from bergamotmill.helpers import decisions
 from bergamotmill.proto import peer_pb2
 from bergamotmill.storage import key_value
@@ -181,7 +182,7 @@
         # Highest revision seen, from the store or from peers.
         self._revision = 0
         self._store_ok = False
-        self._store_ok_since = -const.STORE_UNSTABLE_S
+        self.health = store_health.StoreHealth(clock.boottime)
         self._confirmed_at = float("-inf")
         # Maximum age of changes in the snapshot that is being read; 0 once it
         # has been read.
@@ -240,10 +241,12 @@
             self._suspension_s, self._suspension_ended_at = gap_s, now
             decisions.record("paused", seconds=round(gap_s, 2))
 
-    def recently_unavailable(self) -> bool:
-        """Whether the store is unavailable or recovered only recently."""
-        since = self._now() - self._store_ok_since
-        return not self._store_ok or since < const.STORE_UNSTABLE_S
+    def may_lack_entries(self) -> bool:
+        """Whether entries of live upstreams may be missing in the store."""
+        return (
+            self.health.is_recovering
+            or self.since_restore_s < store_health.UNSTABLE_S
+        )
 
     def staleness_s(self) -> float:
         """Returns seconds since the documents were last known to be current."""
@@ -396,6 +399,7 @@
             revision=self._revision,
             store_answers=store_answers,
             age_ms=_to_ms(self.staleness_s()) if store_answers else 0,
+            store=self.health.report(),
         )
         for group in self._publish_groups(names):
             self._tasks.spawn(self._publish_to(group, message))
@@ -449,6 +453,8 @@
             passed_on.ClearField("forward_to")
             self._forward(message.forward_to, passed_on)
         self._store_readers.note_answers(message.sender, message.store_answers)
+        if message.HasField("store"):
+            self.health.merge(message.store)
         self._enter_era(message.revision)
         self._adopt_all(message.sender, message.documents)
         if self._revision >= message.after_revision:
@@ -463,11 +469,9 @@
         elif is_reader and not message.store_answers and not self._overdue:
             # A reader takes over at once from one that cannot reach the store.
             self._published_at = float("-inf")
-        if not is_reader or self._receives_publications():
-            if not message.store_answers:
-                self._store_failed(f"reported unavailable by {message.sender}")
-            elif is_complete:
-                self._store_answered(current_at)
+        may_rely = not is_reader or self._receives_publications()
+        if may_rely and message.store_answers and is_complete:
+            self._store_answered(current_at)
         return peer_pb2.PublicationReply()
 
     async def close(self) -> None:
@@ -508,8 +512,6 @@
         if era <= key_value.era_of(self._revision):
             return
         self._restored_at = self._clock.boottime()
-        # What was written since the copy is missing for a time.
-        self._store_ok_since = self._now()
         decisions.record(
             "store_restored",
             revision=key_value.format_revision(revision),
@@ -556,9 +558,10 @@
             current_at: when the documents that it gave were current.
         """
         self._confirmed_at = max(self._confirmed_at, current_at)
+        age_s = self._now() - current_at
+        self.health.note_answer(self._clock.boottime() - age_s)
         if not self._store_ok:
             self._store_ok = True
-            self._store_ok_since = self._now()
             self._backoff.reset()
             decisions.record(
                 "store_back",
@@ -575,6 +578,7 @@
 
     def _store_failed(self, reason: str) -> None:
         self._mark_changes_missed()
+        self.health.note_failure()
         if self._store_ok:
             decisions.record(
                 "store_lost", detail=reason, age_s=round(self.staleness_s(), 2)
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -191,7 +191,7 @@
         """Whether the configuration is likely to be out of date."""
         limit_s = const.DOCUMENTS_STALE_S
         if not self._feed.store_ok:
-            limit_s = const.STORE_UNSTABLE_S / 3
+            limit_s = const.DOCUMENTS_STALE_UNANSWERED_S
         return self._feed.staleness_s() > limit_s
 
     def add_catalog_listener(
@@ -452,18 +452,27 @@
     def _upstream_absent(self, name: str, source: str) -> None:
         if name not in self.upstreams.by_name or name in self._absence_timers:
             return
-        if not self._feed.recently_unavailable():
+        if not self._feed.may_lack_entries():
             self._remove_upstream(name, "entry removed", source)
             return
-        loop = asyncio.get_running_loop()
-        self._absence_timers[name] = loop.call_later(
-            const.UPSTREAM_ABSENCE_GRACE_S, self._remove_absent, name, source
-        )
+        self._check_absent(name, source, const.UPSTREAM_ABSENCE_GRACE_S)
+
+    def _check_absent(self, name: str, source: str, left_s: float) -> None:
+        """Drops an upstream once its entry cannot have lapsed in an outage.
 
-    def _remove_absent(self, name: str, source: str) -> None:
+        Args:
+            name: the upstream.
+            source: where its absence was seen.
+            left_s: time after which it is dropped in any case, in seconds.
+        """
         self._absence_timers.pop(name, None)
-        self._remove_upstream(
-            name, "entry expired and was not written again", source
+        if left_s <= 0 or not self._feed.may_lack_entries():
+            reason = "entry expired and was not written again"
+            self._remove_upstream(name, reason, source)
+            return
+        pause_s = min(left_s, const.ABSENCE_CHECK_PERIOD_S)
+        self._absence_timers[name] = asyncio.get_running_loop().call_later(
+            pause_s, self._check_absent, name, source, left_s - pause_s
         )
 
     def _remove_upstream(self, name: str, reason: str, source: str) -> None:
--- a/bergamotmill/dispatch/readers.py
+++ b/bergamotmill/dispatch/readers.py
@@ -13,6 +13,7 @@
 from bergamotmill.control import const as control_const
 from bergamotmill.control import members as fleet_members
 from bergamotmill.dispatch import const
+from bergamotmill.helpers import decisions
 from bergamotmill.util import rendezvous
 
 RENDEZVOUS_KEY = "readers"
@@ -70,8 +71,10 @@
         """Records whether a router gets answers from the store."""
         if answers:
             self._unanswered_since.pop(name, None)
-        else:
-            self._unanswered_since[name] = self._now()
+            return
+        if name not in self._unanswered_since:
+            decisions.record("reader_unanswered", router=name)
+        self._unanswered_since[name] = self._now()
 
     def _all_read(self) -> bool:
         return len(self._router_names()) <= const.ALL_READERS_MAX_ROUTERS
