--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -146,6 +146,14 @@
             self._finished = True
             self._connection.send(h11.EndOfMessage())
 
+    def close(self) -> None:
+        """Closes the connection without an end of the response.
+
+        Used by test stand-ins.
+        """
+        self._finished = True
+        self._connection.close()
+
     def abort(self) -> None:
         """Aborts the connection, so that the caller detects a partial body."""
         self._finished = True
@@ -272,6 +280,11 @@
         if not self._disconnected:
             self._transport.write(data)
 
+    def close(self) -> None:
+        """Closes the connection after what has been written."""
+        if self._transport is not None:
+            self._transport.close()
+
     def abort(self) -> None:
         """Aborts the connection."""
         if self._transport is not None:
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -100,6 +100,10 @@
         resume_answer: written in small pieces instead of an answer to requests
             that resume or continue a stream, after which their connection is
             closed. `ID` is replaced by the request's id.
+        answer: written instead of the answer to each request that runs, after
+            which the connection is closed, or reset with `resets`. `ID` is
+            replaced by the request's id.
+        resets: see `answer`.
     """
 
     lose_answers: bool = False
@@ -124,6 +128,8 @@
     pause_after_start_s: float = 0.0
     repeats_refusals: bool = False
     resume_answer: bytes = b""
+    answer: bytes = b""
+    resets: bool = False
 
 
 # Bytes that answers without an end start with, and those that follow. `ID` is
@@ -383,6 +389,9 @@
         if self.faults.resume_answer and (run.resumed_after or continuation):
             await self._write_in_pieces(exchange, run)
             return
+        if self.faults.answer:
+            await self._write_answer(exchange, run)
+            return
         if self.faults.repeats_refusals and not exchange.is_first:
             exchange.write_raw(_REFUSAL)
         backup = self._replica_at(headers.get(const.HEADER_KV_STANDBY, ""))
@@ -469,6 +478,16 @@
             await asyncio.sleep(PIECE_PAUSE_S)
         exchange.abort()
 
+    async def _write_answer(self, exchange, run: Run) -> None:
+        run.outcome = "cut"
+        data = self.faults.answer.replace(b"ID", run.request_id.encode())
+        exchange.write_raw(data)
+        await asyncio.sleep(PIECE_PAUSE_S)
+        if self.faults.resets:
+            exchange.abort()
+        else:
+            exchange.close()
+
     async def _write_endlessly(self, exchange, run: Run) -> None:
         start, filler = ENDLESS_PARTS[self.faults.endless]
         data = start.replace(b"ID", run.request_id.encode()) + filler
--- a/bergamotmill/standin/service.py
+++ b/bergamotmill/standin/service.py
@@ -26,6 +26,8 @@
         delay_s: delay before a call runs.
         crash_mark: a call whose path or body contains it crashes the service;
             empty for none.
+        answer: written instead of the answer to each call, after which the
+            connection is closed; empty for proper answers.
         on_crash: called when a call crashes the service.
     """
 
@@ -39,6 +41,7 @@
         self.crossed = False
         self.delay_s = 0.0
         self.crash_mark = b""
+        self.answer = b""
         self.on_crash: Callable[[ServiceStandIn], None] = _ignore_crash
 
     async def start(self) -> None:
@@ -57,6 +60,12 @@
         if self.crash_mark and self.crash_mark in content:
             self.on_crash(self)
             return
+        if self.answer:
+            if request.method not in ("GET", "HEAD"):
+                self.runs.append(request.body)
+            exchange.write_raw(self.answer)
+            exchange.close()
+            return
         if request.method in ("GET", "HEAD"):
             exchange.respond_json(
                 200, {"record": request.path, "by": self._name}
