--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -42,6 +42,7 @@
 from bergamotmill.dispatch import upstreams
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import http_server
+from bergamotmill.helpers import memory_budget
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.helpers import metrics_page
 from bergamotmill.proto import peer_pb2
@@ -76,6 +77,18 @@
         """Closes idle connections."""
 
 
+class Front(Protocol):
+    """Serves callers' requests in the protocol of one platform."""
+
+    async def handle(self, exchange: http_server.Exchange) -> None:
+        """Serves one request."""
+
+    def refuse_for_memory(
+        self, exchange: http_server.Exchange, retry_after_s: float
+    ) -> None:
+        """Refuses a request for whose body there is no memory."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dialect:
     """Adapter to the keys, formats and protocols of one platform.
@@ -89,7 +102,7 @@
         lease_key: store key of the lease for orders.
         handover_key: store key of the handover record.
         quarantine_prefix: prefix of the store keys of quarantine entries.
-        make_front_handler: makes the handler of callers' requests.
+        make_front: makes the interface for callers' requests.
         make_directory_handler: makes the handler of router address lookups.
         make_ready_handler: makes the handler of readiness checks.
     """
@@ -102,9 +115,9 @@
     lease_key: str
     handover_key: str
     quarantine_prefix: str
-    make_front_handler: Callable[
+    make_front: Callable[
         [fleet_state.Fleet, call_dispatcher.Dispatcher, Callable[[], float]],
-        http_server.Handler,
+        Front,
     ]
     make_directory_handler: Callable[[directory.Directory], http_server.Handler]
     make_ready_handler: Callable[[Callable[[], bool]], http_server.Handler]
@@ -148,6 +161,9 @@
         self._exits_at = float("inf")
         self._supervisor = supervisor.Supervisor("router", rng)
         self.metrics = stats.Metrics()
+        self._memory = memory_budget.MemoryBudget(
+            memory_budget.budget_bytes(settings.memory.limit_bytes)
+        )
         factories = factories or Factories()
         self._peers = factories.make_peers(
             settings.fleet_key, self._peer_address
@@ -354,6 +370,7 @@
                 self._clock.monotonic,
                 self._clock.boottime,
                 self._rng,
+                self._memory,
             ),
         )
 
@@ -362,10 +379,15 @@
         dialect = self._dialect
         router_directory = directory.Directory(self.liveness.named, self._rng)
         metrics_handler = metrics_page.MetricsPage(self.metrics, self._gauges)
-        front = dialect.make_front_handler(
+        front = dialect.make_front(
             self.fleet, self.dispatcher, self._clock.monotonic
         )
-        self._front = http_server.HttpServer(own.front, front)
+        self._front = http_server.HttpServer(
+            own.front,
+            front.handle,
+            memory=self._memory,
+            refusal_handler=front.refuse_for_memory,
+        )
         self._servers = [
             self._front,
             http_server.HttpServer(
@@ -425,6 +447,8 @@
             "routers_named": float(len(self.liveness.named())),
             "upstreams_known": float(len(self.fleet.upstreams.by_name)),
             "requests_waiting": float(self.dispatcher.held_count),
+            "body_memory_bytes": float(self._memory.used_bytes),
+            "requests_without_memory": float(self._memory.waiting_count),
             "response_bytes_buffered": float(self.dispatcher.buffered_bytes),
             "asks_waiting": float(self._placement_owner.waiting_count),
             "prompt_parts_quarantined": float(
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -24,6 +24,7 @@
 from bergamotmill.dispatch import upstreams
 from bergamotmill.dispatch import waiting
 from bergamotmill.helpers import decisions
+from bergamotmill.helpers import memory_budget
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.routing import prompt_quarantine
 from bergamotmill.routing import shutdown
@@ -58,6 +59,7 @@
         now: the monotonic clock.
         boottime: the clock that also runs during suspensions.
         rng: randomizes the choice of services and the retry hints.
+        memory: memory of all bodies.
     """
 
     seconds_until_exit: Callable[[], float]
@@ -66,6 +68,7 @@
     now: Callable[[], float]
     boottime: Callable[[], float]
     rng: random.Random
+    memory: memory_budget.MemoryBudget
 
 
 @dataclasses.dataclass(slots=True)
@@ -149,7 +152,9 @@
         self._rng = process.rng
         self._tasks = background.Tasks()
         self._admission_queue = waiting.AdmissionQueue(process.rng)
-        self._relay = relay.ResponseRelay(process.metrics, process.now)
+        self._relay = relay.ResponseRelay(
+            process.metrics, process.now, process.memory
+        )
         self._attempt_runner = attempt_runner.AttemptRunner(
             link,
             self._relay,
--- a/bergamotmill/dispatch/relay.py
+++ b/bergamotmill/dispatch/relay.py
@@ -1,17 +1,17 @@
 """Forwards an upstream's response to the caller."""
 
 from collections.abc import Callable, Sequence
+import dataclasses
 
 from bergamotmill.dispatch import ports
 from bergamotmill.dispatch import progress as call_progress
 from bergamotmill.dispatch import upstreams
+from bergamotmill.helpers import memory_budget
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.streams import events as sse
 from bergamotmill.upstream import errors
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-# Bodies that are being received, together. A router has 150 MB of memory.
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 _EVENT_ID_FIELD = b"id:"
 
 
@@ -32,12 +32,38 @@
     return previous
 
 
+@dataclasses.dataclass(slots=True)
+class _Body:
+    """A plain response that is being received.
+
+    Attributes:
+        taken_bytes: memory taken for it.
+    """
+
+    chunks: list[bytes] = dataclasses.field(default_factory=list)
+    size_bytes: int = 0
+    taken_bytes: int = 0
+
+
 class ResponseRelay:
     """Forwards plain responses as a whole and streams event by event."""
 
-    def __init__(self, metrics: stats.Metrics, now: Callable[[], float]):
+    def __init__(
+        self,
+        metrics: stats.Metrics,
+        now: Callable[[], float],
+        memory: memory_budget.MemoryBudget,
+    ):
+        """Makes a relay.
+
+        Args:
+            metrics: counters and timings.
+            now: the monotonic clock.
+            memory: memory of all bodies.
+        """
         self._metrics = metrics
         self._now = now
+        self._memory = memory
         self._buffered_bytes = 0
 
     @property
@@ -89,40 +115,45 @@
                 "response does not resume the stream",
                 True,
             )
-        body = await self._read_body(response)
-        await _check_end(response)
-        if head.status >= 500 and may_retry:
-            raise errors.UpstreamError(
-                errors.Failure.FAILED, str(head.status), True
-            )
-        sink.respond(head, body)
+        body = _Body()
+        try:
+            await self._read_body(response, body)
+            await _check_end(response)
+            if head.status >= 500 and may_retry:
+                raise errors.UpstreamError(
+                    errors.Failure.FAILED, str(head.status), True
+                )
+            sink.respond(head, b"".join(body.chunks))
+            body.chunks.clear()
+            if sink.write_paused:
+                await sink.drain()
+        finally:
+            self._buffered_bytes -= body.size_bytes
+            self._memory.give_back(body.taken_bytes)
 
-    async def _read_body(self, response: ports.UpstreamResponse) -> bytes:
-        """Returns the whole body of a plain response.
+    async def _read_body(
+        self, response: ports.UpstreamResponse, body: "_Body"
+    ) -> None:
+        """Receives the whole body of a plain response.
 
         Raises:
             errors.UpstreamError: the body, or all bodies together, exceed
                 their limit.
         """
-        chunks = []
-        size_bytes = 0
-        try:
-            while data := await response.read():
-                size_bytes += len(data)
-                self._buffered_bytes += len(data)
-                if (
-                    size_bytes > MAX_BODY_BYTES
-                    or self._buffered_bytes > MAX_BUFFERED_BYTES
-                ):
-                    raise errors.UpstreamError(
-                        errors.Failure.BROKEN,
-                        f"no room for a body of {size_bytes} bytes or more",
-                        True,
-                    )
-                chunks.append(data)
-            return b"".join(chunks)
-        finally:
-            self._buffered_bytes -= size_bytes
+        while data := await response.read():
+            body.size_bytes += len(data)
+            self._buffered_bytes += len(data)
+            cost = memory_budget.COPIES * len(data)
+            has_room = self._memory.take_for_response(cost)
+            if has_room:
+                body.taken_bytes += cost
+            if not has_room or body.size_bytes > MAX_BODY_BYTES:
+                raise errors.UpstreamError(
+                    errors.Failure.BROKEN,
+                    f"no room for a body of {body.size_bytes} bytes or more",
+                    True,
+                )
+            body.chunks.append(data)
 
     async def _stream(
         self,
--- a/bergamotmill/dispatch/settings.py
+++ b/bergamotmill/dispatch/settings.py
@@ -9,6 +9,7 @@
 from bergamotmill.dispatch import const
 from bergamotmill.helpers import findings
 from bergamotmill.helpers import json_file
+from bergamotmill.helpers import memory_budget
 from bergamotmill.settings import schema
 
 CONF_ROUTER = "router"
@@ -19,6 +20,7 @@
 CONF_WEIGHTS = "weights"
 CONF_STREAMS = "streams"
 CONF_LOG = "log"
+CONF_MEMORY = "memory"
 CONF_FLEET_KEY = "fleet_key"
 
 
@@ -132,6 +134,22 @@
     level: str = "INFO"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemorySettings:
+    """Memory that the process may use.
+
+    Attributes:
+        limit_mb: memory above which the platform ends the process, in MiB.
+    """
+
+    limit_mb: float = memory_budget.DEFAULT_MEMORY_BYTES / memory_budget.MIB
+
+    @property
+    def limit_bytes(self) -> int:
+        """The limit in bytes."""
+        return int(self.limit_mb * memory_budget.MIB)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one dispatching router.
@@ -147,6 +165,7 @@
         weights: time limits for changes of model weights.
         streams: streams that cannot be retried.
         log: log level.
+        memory: memory that the process may use.
     """
 
     router: RouterSettings
@@ -158,6 +177,7 @@
     weights: WeightsSettings = WeightsSettings()
     streams: StreamSettings = StreamSettings()
     log: LogSettings = LogSettings()
+    memory: MemorySettings = MemorySettings()
 
 
 def restart_needed(old: Settings, new: Settings) -> list[str]:
@@ -168,6 +188,7 @@
         CONF_WEIGHTS: old.weights != new.weights,
         CONF_STREAMS: old.streams != new.streams,
         CONF_LOG: old.log != new.log,
+        CONF_MEMORY: old.memory != new.memory,
         f"{CONF_RETRIES}.window_s": (
             old.retries.window_s != new.retries.window_s
         ),
@@ -211,6 +232,7 @@
         CONF_LOG: schema.strict_object(
             {"level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]}}
         ),
+        CONF_MEMORY: schema.strict_object({"limit_mb": schema.POSITIVE}),
         CONF_FLEET_KEY: {"type": "string", "minLength": 16},
     },
     (CONF_ROUTER, CONF_STORE, CONF_RETRIES, CONF_SHUTDOWN, CONF_FLEET_KEY),
@@ -238,6 +260,7 @@
         weights=WeightsSettings(**value.get(CONF_WEIGHTS, {})),
         streams=StreamSettings(**value.get(CONF_STREAMS, {})),
         log=LogSettings(**value.get(CONF_LOG, {})),
+        memory=MemorySettings(**value.get(CONF_MEMORY, {})),
     )
 
 
--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -20,6 +20,8 @@
 IDLE_LIFETIME_S = 15.0
 MAX_IDLE_PER_ADDRESS = 32
 TIMER_TOLERANCE_S = 0.001
+# Bodies of up to this size are sent with their head at once.
+SMALL_BODY_BYTES = 16 * 1024
 _CHUNK_END = b"\r\n"
 _METHODS_WITHOUT_BODY = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 
@@ -236,17 +238,22 @@
         ]
         if body or method not in _METHODS_WITHOUT_BODY:
             header_lines.append((b"content-length", str(len(body)).encode()))
-        data = self._h11.send(
+        head_data = self._h11.send(
             h11.Request(method=method, target=target, headers=header_lines)
         )
         if body:
-            data += self._h11.send(h11.Data(data=body))
-        data += self._h11.send(h11.EndOfMessage())
+            self._h11.send(h11.Data(data=body))
+        self._h11.send(h11.EndOfMessage())
         self._require_open()
         self._in_use = True
         self._exchanges += 1
         self._request_sent = True
-        self._transport.write(data)
+        if len(body) <= SMALL_BODY_BYTES:
+            self._transport.write(head_data + body)
+        else:
+            # Not joined with the head, as that would copy the body.
+            self._transport.write(head_data)
+            self._transport.write(body)
         self.set_read_timeout(read_timeout_s)
         while self._head is None:
             if self._error is not None:
--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -9,6 +9,7 @@
 import h11
 import loguru
 
+from bergamotmill.helpers import memory_budget
 from bergamotmill.helpers import socket_options
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -18,6 +19,8 @@
 IDLE_TIMEOUT_S = 75.0
 READ_PAUSE_BYTES = 256 * 1024
 WRITE_HIGH_WATER_BYTES = 64 * 1024
+# How long a request waits for memory before it is refused.
+MEMORY_WAIT_S = 0.5
 
 JSON_TYPE = (b"content-type", b"application/json")
 
@@ -184,6 +187,20 @@
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
+# Refuses a request, whose body is left out, as there is no memory for it.
+# Its second argument is the time after which the caller may return, in seconds.
+RefusalHandler = Callable[[Exchange, float], None]
+
+
+def refuse_for_memory(exchange: Exchange, retry_after_s: float) -> None:
+    """Refuses a request for lack of memory."""
+    body = json.dumps(_error_body(503, "no memory", run="not_run")).encode()
+    retry_after = f"{retry_after_s:.3f}".encode()
+    exchange.respond(503, body, [JSON_TYPE, (b"retry-after", retry_after)])
+
+
+class _NoMemoryError(Exception):
+    """There is no memory for a request."""
 
 
 class ServerConnection(asyncio.Protocol):
@@ -205,6 +222,8 @@
         self.requests_read = 0
         self._exchange: Exchange | None = None
         self._idle = True
+        # Memory that the present request has taken from the budget.
+        self._memory_cost = 0
 
     @property
     def write_paused(self) -> bool:
@@ -321,12 +340,43 @@
                 self._transport.close()
 
     async def _serve_one(self) -> bool:
-        request = await self._read_request()
-        if request is None:
+        head = await self._next_head()
+        if head is None:
             return False
+        try:
+            return await self._serve_request(head)
+        finally:
+            self._server.memory.give_back(self._memory_cost)
+            self._memory_cost = 0
+
+    async def _serve_request(self, head: h11.Request) -> bool:
+        try:
+            body = await self._read_body(head)
+        except _NoMemoryError:
+            body = None
+        else:
+            if body is None:
+                return False
         self._idle = False
         self.requests_read += 1
-        exchange = Exchange(self, request)
+        exchange = Exchange(self, _make_request(head, body or b""))
+        if body is None:
+            self._server.refuse_for_memory(
+                exchange, self._server.memory.retry_after_s()
+            )
+            await self._discard_body()
+        else:
+            await self._handle(exchange)
+        self._resume_reading()
+        self._idle = True
+        if self._disconnected or self._server.closing:
+            return False
+        if not self._h11.our_state is self._h11.their_state is h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        return True
+
+    async def _handle(self, exchange: Exchange) -> None:
         self._exchange = exchange
         if self._disconnected:
             exchange.mark_disconnected()
@@ -338,51 +388,82 @@
                 exchange.abort()
             else:
                 exchange.respond_json(500, _error_body(500, "internal error"))
+        # A response counts until the caller has taken it.
+        await self.drain()
         self._exchange = None
         self._unparsed_bytes = 0
+
+    async def _take_memory(self, body_bytes: int) -> None:
+        """Takes memory for a request with a body of a size.
+
+        Raises:
+            _NoMemoryError: there is no room in time.
+        """
+        cost = memory_budget.request_cost(body_bytes) - self._memory_cost
+        if cost <= 0:
+            return
+        memory = self._server.memory
+        if not await memory.take_for_request(cost, 0.0):
+            self._pause_reading()
+            taken = await memory.take_for_request(cost, MEMORY_WAIT_S)
+            self._resume_reading()
+            if not taken:
+                raise _NoMemoryError
+        self._memory_cost += cost
+
+    def _pause_reading(self) -> None:
+        if not self._reading_paused and not self._disconnected:
+            self._reading_paused = True
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
         if self._reading_paused and not self._disconnected:
             self._reading_paused = False
             self._transport.resume_reading()
-        self._idle = True
-        if self._disconnected or self._server.closing:
-            return False
-        if self._h11.our_state is not h11.DONE:
-            return False
-        self._h11.start_next_cycle()
-        return True
 
-    async def _read_request(self) -> HttpRequest | None:
-        head = await self._next_head()
-        if head is None:
-            return None
+    async def _read_body(self, head: h11.Request) -> bytes | None:
+        """Returns the body; None after a disconnect.
+
+        Memory for a body of unknown length is taken as it comes.
+
+        Raises:
+            _NoMemoryError: there is no memory for it.
+        """
+        limits = self._server.limits
+        declared_bytes = _declared_body_bytes(head)
+        await self._take_memory(min(declared_bytes, limits.body_bytes))
         if self._h11.they_are_waiting_for_100_continue:
             self.send(h11.InformationalResponse(status_code=100, headers=[]))
-        body_parts: list[bytes] = []
+        parts: list[bytes] = []
         received_bytes = 0
-        async with asyncio.timeout(self._server.limits.body_timeout_s):
+        async with asyncio.timeout(limits.body_timeout_s):
             while True:
                 event = await self._next_event()
                 if event is None:
                     return None
                 if type(event) is h11.EndOfMessage:
-                    break
+                    return b"".join(parts)
                 received_bytes += len(event.data)
-                if received_bytes > self._server.limits.body_bytes:
+                if received_bytes > limits.body_bytes:
                     raise h11.RemoteProtocolError(
                         "the body is too large", error_status_hint=413
                     )
-                body_parts.append(bytes(event.data))
-        headers = {
-            name.decode("latin-1"): value.decode("latin-1")
-            for name, value in head.headers
-        }
-        return HttpRequest(
-            head.method.decode(),
-            head.target.decode("latin-1"),
-            headers,
-            b"".join(body_parts),
-            tuple(head.headers.raw_items()),
-        )
+                await self._take_memory(received_bytes)
+                parts.append(bytes(event.data))
+
+    async def _discard_body(self) -> None:
+        """Reads the rest of a body that was refused.
+
+        A connection that is closed with unread bytes is reset, and its caller
+        may not get the response.
+        """
+        async with asyncio.timeout(self._server.limits.body_timeout_s):
+            while (
+                self._h11.their_state is h11.SEND_BODY
+                and not self._h11.they_are_waiting_for_100_continue
+            ):
+                if await self._next_event() is None:
+                    return
 
     async def _next_head(self):
         limits = self._server.limits
@@ -425,12 +506,34 @@
         self.send(h11.EndOfMessage())
 
 
+def _declared_body_bytes(head: h11.Request) -> int:
+    """Returns the length of a body as its head says; 0 if it does not."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
+def _make_request(head: h11.Request, body: bytes) -> HttpRequest:
+    headers = {
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in head.headers
+    }
+    return HttpRequest(
+        head.method.decode(),
+        head.target.decode("latin-1"),
+        headers,
+        body,
+        tuple(head.headers.raw_items()),
+    )
+
+
 def _with_connection_close(event: h11.Response) -> h11.Response:
     headers = [*event.headers.raw_items(), (b"connection", b"close")]
     return h11.Response(status_code=event.status_code, headers=headers)
 
 
-def _error_body(status: int, message: str) -> dict[str, object]:
+def _error_body(status: int, message: str, run: str = "") -> dict[str, object]:
     error_type = "server_error" if status >= 500 else "invalid_request_error"
     return {
         "error": {
@@ -438,7 +541,7 @@
             "type": error_type,
             "code": "bad_request" if status < 500 else "internal_error",
             "param": None,
-            "run": "not_run" if status < 500 else "unknown",
+            "run": run or ("not_run" if status < 500 else "unknown"),
         }
     }
 
@@ -451,9 +554,25 @@
         address: str,
         handler: Handler,
         max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+        memory: memory_budget.MemoryBudget | None = None,
+        refusal_handler: RefusalHandler = refuse_for_memory,
     ):
+        """Makes a server that does not listen yet.
+
+        Args:
+            address: IP:PORT.
+            handler: serves requests.
+            max_body_bytes: maximum size of a body.
+            memory: memory of all bodies; that of a process of default size if
+                none is given.
+            refusal_handler: refuses requests for lack of memory.
+        """
         self._address = address
         self.handler = handler
+        self.memory = memory or memory_budget.MemoryBudget(
+            memory_budget.budget_bytes(memory_budget.DEFAULT_MEMORY_BYTES)
+        )
+        self.refuse_for_memory = refusal_handler
         self.limits = Limits(body_bytes=max_body_bytes)
         self.connections: dict[ServerConnection, None] = {}
         self.closing = False
--- /dev/null
+++ b/bergamotmill/helpers/memory_budget.py
@@ -0,0 +1,146 @@
+"""Bounds the memory of all bodies that a process holds together.
+
+A body counts from before it is received until its request has ended, a response
+until it has been written. Requests may use a part of the budget only, so that
+the responses of those that were accepted still have room. A request that has no
+room waits for a short time, in order of arrival, or is refused before its body
+is kept.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+MIB = 1024 * 1024
+# Memory of a process without any bodies: the interpreter, libraries, state and
+# connections.
+BASE_BYTES = 64 * MIB
+# The rest is used up to this fraction, as memory that was freed is not all
+# reused.
+USABLE_FRACTION = 0.8
+# No budget is smaller than this.
+MIN_BUDGET_BYTES = 8 * MIB
+# Fraction of the budget that requests may use, and of that the part which is
+# kept for small ones. These do not wait behind large ones.
+REQUESTS_FRACTION = 0.7
+SMALL_FRACTION = 0.15
+SMALL_COST_BYTES = 64 * 1024
+# A body is held twice while it is put together, or sent on.
+COPIES = 2
+# What a request needs besides its body.
+REQUEST_OVERHEAD_BYTES = 8 * 1024
+# Refused callers return after MIN_RETRY_AFTER_S, and up to RETRY_STEPS steps
+# later, so that they do not return all at once.
+MIN_RETRY_AFTER_S = 0.3
+RETRY_STEP_S = 0.1
+RETRY_STEPS = 12
+# Memory of a process if the settings name none.
+DEFAULT_MEMORY_BYTES = 150 * MIB
+
+
+def budget_bytes(memory_bytes: int) -> int:
+    """Returns the budget of a process that may use this much memory."""
+    usable = int((memory_bytes - BASE_BYTES) * USABLE_FRACTION)
+    return max(MIN_BUDGET_BYTES, usable)
+
+
+def request_cost(body_bytes: int) -> int:
+    """Returns the memory that a request needs, in bytes."""
+    return REQUEST_OVERHEAD_BYTES + COPIES * body_bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _Waiter:
+    """A request that waits for room."""
+
+    cost: int
+    granted: asyncio.Future[None]
+
+
+class MemoryBudget:
+    """The memory that bodies use, and the requests that wait for some."""
+
+    def __init__(self, limit_bytes: int):
+        """Makes a budget.
+
+        Args:
+            limit_bytes: memory for all bodies together.
+        """
+        self._limit = limit_bytes
+        self._used = 0
+        self._refusals = 0
+        self._waiters: collections.deque[_Waiter] = collections.deque()
+
+    @property
+    def used_bytes(self) -> int:
+        """Memory in use."""
+        return self._used
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait for room."""
+        return len(self._waiters)
+
+    def retry_after_s(self) -> float:
+        """Returns when a request that is refused now may return."""
+        self._refusals += 1
+        return MIN_RETRY_AFTER_S + RETRY_STEP_S * (self._refusals % RETRY_STEPS)
+
+    def _requests_limit(self, cost: int) -> int:
+        """Returns what requests may use together when one is taken."""
+        limit = self._limit * REQUESTS_FRACTION
+        if cost > SMALL_COST_BYTES:
+            limit *= 1.0 - SMALL_FRACTION
+        return int(limit)
+
+    async def take_for_request(self, cost: int, max_wait_s: float) -> bool:
+        """Takes memory for a request, waiting for room if necessary.
+
+        A request that cannot have room in time does not wait: one that is
+        larger than all the room there is, or that stands behind more than
+        that.
+
+        Returns:
+            Whether it has been taken.
+        """
+        may_pass = not self._waiters or cost <= SMALL_COST_BYTES
+        if may_pass and self._fits_request(cost):
+            self._used += cost
+            return True
+        ahead = sum(item.cost for item in self._waiters)
+        if ahead + cost > self._requests_limit(cost) or max_wait_s <= 0:
+            return False
+        waiter = _Waiter(cost, asyncio.get_running_loop().create_future())
+        self._waiters.append(waiter)
+        try:
+            await asyncio.wait({waiter.granted}, timeout=max_wait_s)
+        except asyncio.CancelledError:
+            if waiter.granted.done():
+                self.give_back(cost)
+            raise
+        finally:
+            if not waiter.granted.done():
+                self._waiters.remove(waiter)
+                self._grant()
+        return waiter.granted.done()
+
+    def take_for_response(self, cost: int) -> bool:
+        """Takes memory for a response; False if there is none."""
+        if self._used + cost > self._limit:
+            return False
+        self._used += cost
+        return True
+
+    def give_back(self, cost: int) -> None:
+        """Returns memory that was taken."""
+        self._used -= cost
+        self._grant()
+
+    def _fits_request(self, cost: int) -> bool:
+        return self._used + cost <= self._requests_limit(cost)
+
+    def _grant(self) -> None:
+        while self._waiters and self._fits_request(self._waiters[0].cost):
+            waiter = self._waiters.popleft()
+            self._used += waiter.cost
+            waiter.granted.set_result(None)
--- a/bergamotmill/platform/ingress.py
+++ b/bergamotmill/platform/ingress.py
@@ -129,6 +129,14 @@
             return
         await self._dispatcher.serve(validated.ok(), sink)
 
+    def refuse_for_memory(
+        self, exchange: http_server.Exchange, retry_after_s: float
+    ) -> None:
+        """Refuses a request for whose body there is no memory."""
+        request_id = exchange.request.headers.get(const.HEADER_REQUEST_ID, "")
+        rejection = messages.Rejection(503, "no_memory", False, retry_after_s)
+        self._reject(request_id, Sink(exchange, request_id), rejection)
+
     def _reject(
         self, request_id: str, sink: Sink, rejection: messages.Rejection
     ) -> None:
