Orders: an unreadable handover record means a whole gap; simpler heartbeats

A record of the store that cannot be read counted as none, which means that the former lease ran out. It may hide a release just before, so the next holder now keeps the whole gap; the test failed before. The loop of the heartbeats says the same with fewer conditions.

--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -365,18 +365,16 @@
         """
         while True:
             due_s = self._last_sent_at + const.READER_HEARTBEAT_S - self._now()
-            await asyncio.sleep(
-                max(const.READER_CHECK_MIN_S, due_s)
-                if due_s > 0
-                else const.READER_HEARTBEAT_S
-            )
-            since_s = self._now() - self._last_sent_at
+            if due_s > 0:
+                # Something has been published meanwhile.
+                await asyncio.sleep(max(const.READER_CHECK_MIN_S, due_s))
+                continue
             if (
-                since_s >= const.READER_HEARTBEAT_S
-                and self._store_readers.is_reader()
+                self._store_readers.is_reader()
                 and not self._receives_publications()
             ):
                 self._publish(self._revision)
+            await asyncio.sleep(const.READER_HEARTBEAT_S)
 
     def _publish(self, after_revision: int) -> None:
         """Sends other routers of the data centre what changed after a revision.
--- a/bergamotmill/dispatch/order_gap.py
+++ b/bergamotmill/dispatch/order_gap.py
@@ -237,7 +237,10 @@
     async def read(
         self,
     ) -> result.Result[tuple[Handover | None, float], key_value.Unavailable]:
-        """Returns the record and a boot time at which it existed."""
+        """Returns the record and a boot time at which it existed.
+
+        A record that cannot be read may be of any age, and hide any order.
+        """
         reading = await self._store.get(self._key)
         if reading.is_err():
             return reading
@@ -246,7 +249,10 @@
         if entry is None:
             return result.Ok((None, self._now()))
         self.note_seen(entry.value)
-        return result.Ok((parse_handover(entry.value), self._seen[1]))
+        handover = parse_handover(entry.value)
+        if handover is None:
+            return result.Ok((Handover(0, {}), self._now()))
+        return result.Ok((handover, self._seen[1]))
 
     async def write(self, handover: Handover) -> bool:
         """Replaces the record that was read or written last.
--- a/tests/dispatch/test_order_gap.py
+++ b/tests/dispatch/test_order_gap.py
@@ -7,10 +7,12 @@
 
 import hypothesis
 from hypothesis import strategies
+import result
 
 from bergamotmill.dispatch import order_gap
 from bergamotmill.platform import const
 from bergamotmill.standin.platform import fleet
+from bergamotmill.storage import key_value
 from tests import platform_case
 
 LEASE_S = 3.0
@@ -195,6 +197,23 @@
         self.now += 0.02
         self.assertTrue(gap.has_passed("e"))
 
+    def test_unreadable_record_means_a_whole_gap(self):
+        async def read():
+            store = mock.Mock()
+            entry = key_value.Entry("k", b"{", 4, 4)
+            store.get = mock.AsyncMock(return_value=result.Ok(entry))
+            record = order_gap.HandoverRecord(store, "k", lambda: self.now)
+            record.note_seen(b"{")
+            self.now += 60.0
+            return (await record.read()).ok()
+
+        handover, received_at = asyncio.run(read())
+        gap = self.make_gap()
+        found = order_gap.Predecessor(handover, received_at, 0)
+        gap.take_over(5, self.now, found)
+        self.now += GAP_S - 0.01
+        self.assertFalse(gap.has_passed("e"))
+
     def test_holder_after_the_one_that_wrote_the_record_ran_out(self):
         first, third = self.make_gap(), self.make_gap()
         first.take_over(3, self.now - 50, self.found(None))
