--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -252,6 +252,11 @@
         """Returns seconds since the documents were last known to be current."""
         return self._now() - self._confirmed_at
 
+    def _age_ms(self) -> int | None:
+        """Returns `staleness_s` in milliseconds; None if never current."""
+        age_s = self.staleness_s()
+        return store_health.to_ms(age_s) if math.isfinite(age_s) else None
+
     def call_wait_s(self) -> float:
         """Returns for how long the present call to the store has waited.
 
@@ -396,7 +401,7 @@
             after_revision=after_revision,
             revision=self._revision,
             store_answers=store_answers,
-            age_ms=_to_ms(self.staleness_s()) if store_answers else 0,
+            age_ms=self._age_ms() or 0,
             store=self.health.report(),
         )
         for group in self._publish_groups(names):
@@ -744,7 +749,7 @@
             revision=self._revision,
             ages=[] if self._ages is None else self._ages.known_ages(),
             quarantine=[] if entries is None else entries.newest_notices(),
-            age_ms=_to_ms(self.staleness_s()),
+            age_ms=self._age_ms(),
         )
 
     def _documents_after(self, revision: int) -> list[peer_pb2.Document]:
@@ -756,11 +761,6 @@
         ]
 
 
-def _to_ms(seconds: float) -> int | None:
-    """Returns whole milliseconds, rounded up; None for an infinite time."""
-    return math.ceil(seconds * 1000) if math.isfinite(seconds) else None
-
-
 def _to_proto(document: Document) -> peer_pb2.Document:
     return peer_pb2.Document(
         key=document.key,
--- a/bergamotmill/dispatch/store_health.py
+++ b/bergamotmill/dispatch/store_health.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 from bergamotmill.proto import peer_pb2
 
@@ -17,6 +18,8 @@
 MIN_OUTAGE_S = 2.4
 # After an outage, entries may be missing for this long.
 UNSTABLE_S = 3.0
+# Longest time that a message can carry, in milliseconds.
+MAX_MS = 0xFFFF_FFFF
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,8 +80,8 @@
             return None
         now = self._now()
         return peer_pb2.StoreReport(
-            steady_ms=_to_ms(now - self._steady_since),
-            answered_ms=_to_ms(now - self._answered_at),
+            steady_ms=to_ms(now - self._steady_since),
+            answered_ms=to_ms(now - self._answered_at),
         )
 
     def merge(self, report: peer_pb2.StoreReport) -> None:
@@ -103,5 +106,6 @@
             self._silence = None
 
 
-def _to_ms(seconds: float) -> int:
-    return max(0, round(seconds * 1000))
+def to_ms(seconds: float) -> int:
+    """Returns a time as messages carry it: in whole milliseconds, bounded."""
+    return min(max(0, math.ceil(seconds * 1000)), MAX_MS)
--- a/tests/dispatch/test_store_health.py
+++ b/tests/dispatch/test_store_health.py
@@ -94,6 +94,14 @@
         self.answer_for(1.5)
         self.assertFalse(self.health.is_recovering)
 
+    def test_report_of_a_process_that_runs_for_months(self):
+        self.answer_for(1.0)
+        self.now += 60 * 86400.0
+        self.health.note_answer(self.now)
+        self.health.merge(self.health.report())
+        self.now += 60 * 86400.0
+        self.assertEqual(self.health.report().answered_ms, store_health.MAX_MS)
+
     def test_nothing_is_reported_before_an_answer(self):
         self.assertIsNone(self.health.report())
 
