--- a/bergamotmill/dispatch/order_gap.py
+++ b/bergamotmill/dispatch/order_gap.py
@@ -146,7 +146,7 @@
         }
 
     def drop(self) -> None:
-        """Ends the turn of this holder, or puts it off."""
+        """Ends the turn of this holder, or puts it off until `resume`."""
         self._pending_fencing, self._fencing = self._fencing, 0
 
     def resume(self, fencing: int) -> None:
--- a/bergamotmill/dispatch/rollout.py
+++ b/bergamotmill/dispatch/rollout.py
@@ -378,9 +378,11 @@
             acquired_at,
             order_gap.Predecessor(handover, received_at, max(seen, default=0)),
         )
+        record = self._gap.handover(False)
+        self._gap.drop()
         self._may_be_recorded = True
-        if not await self._handover.write(self._gap.handover(False)):
-            self._gap.drop()
+        if await self._handover.write(record):
+            self._gap.resume(fencing)
 
     async def _give_up_lease(self) -> None:
         """Records the last orders, then releases the lease.
@@ -412,6 +414,9 @@
         lease_end_s = const.ORDER_LEASE_S - const.ORDER_LEASE_MARGIN_S
         if self._since_restore_s() < lease_end_s + self._min_order_gap_s:
             return False
+        if self._gap.fencing != self._lease.fencing:
+            # The lease has not been taken over yet.
+            return False
         return self._gap.has_passed(name)
 
     async def run(self) -> None:
@@ -574,7 +579,7 @@
         # since the last check, and the lease may have expired meanwhile.
         if (
             self._lease.time_left() <= 0
-            or not self._gap.has_passed(engine.entry.name)
+            or not self._order_gap_passed(engine.entry.name)
             or engine.pause_left_s(self._clock.monotonic())
         ):
             return OrderAnswer.OTHER
--- a/tests/dispatch/test_order_gap.py
+++ b/tests/dispatch/test_order_gap.py
@@ -144,6 +144,27 @@
 
         self.run_stops(end, seeds=3)
 
+    # The record says who may have given orders, so none comes before it.
+    def test_no_order_before_the_record_is_written(self):
+        async def scenario():
+            self.version = 1
+            holder = await self.wait_for_order()
+            for router in self.fleet.routers.values():
+                router.rollout._handover.write = mock.AsyncMock(
+                    return_value=False
+                )
+            await self.fleet.crash_router(holder)
+            await self.name_weights()
+            await asyncio.sleep(8.0)
+            versions = [
+                version
+                for standin in self.engines()
+                for _, _, version in standin.orders
+            ]
+            self.assertNotIn(self.version, versions)
+
+        self.run_fleet(scenario, engines=2)
+
     def test_order_is_on_its_way_at_the_stop(self):
         async def end(holder):
             for standin in self.engines():
--- a/tests/dispatch/test_rollout.py
+++ b/tests/dispatch/test_rollout.py
@@ -95,10 +95,11 @@
 class RestoreTest(unittest.TestCase):
     """A restore of the store ends the lease of a holder unnoticed."""
 
-    def started_updates(self, since_restore_s):
+    def started_updates(self, since_restore_s, taken_over=7):
         started = []
         engine = make_engine("e0", 1)
         lease = mock.Mock()
+        lease.fencing = 7
         fleet = mock.Mock()
         fleet.upstreams.by_name = {"e0": engine}
         fleet.target_versions = {"m": 2}
@@ -117,6 +118,7 @@
         )
         updates._gap = mock.Mock()
         updates._gap.has_passed.return_value = True
+        updates._gap.fencing = taken_over
         updates._update_engine = lambda *update: update
         updates._tasks.spawn = started.append
         updates.start_due_updates()
@@ -131,6 +133,11 @@
         for since_s in (6.0, float("inf")):
             self.assertEqual(len(self.started_updates(since_s)), 1)
 
+    # A router that held the lease before has not taken the new one over.
+    def test_no_order_under_a_lease_that_was_not_taken_over(self):
+        for fencing in (0, 5):
+            self.assertEqual(self.started_updates(float("inf"), fencing), [])
+
 
 class HandoverTest(unittest.TestCase):
     def test_encoded_record_decodes_to_an_equal_record(self):
