--- a/bergamotmill/bench/process_soak/promises.py
+++ b/bergamotmill/bench/process_soak/promises.py
@@ -331,7 +331,9 @@
 @PROMISES.register("a router that is asked to end cuts nothing")
 def _shutdown_cuts_nothing(observed: observations.Observations) -> list[str]:
     return [
-        f"{item.request_id} on {item.route} was cut by {item.router}"
+        f"{item.request_id} on {item.route} was cut by {item.router} after "
+        f"{item.ended - item.began:.2f} of {item.timeout_s} s, status "
+        f"{item.status}"
         for item in observed.requests
         if item.ended
         and not item.complete
