Documents: readers send no heartbeat while the store answers them

Change: the heartbeat only repeats that a reader gets no answers.

Tests of readers, documents, removed entries and a silent store pass.

--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -363,10 +363,9 @@
         return since_s <= const.SECOND_READER_TIMEOUT_S
 
     async def run_heartbeats(self) -> None:
-        """Publishes regularly while this router is a reader, forever.
+        """Repeats that a reader gets no answers from the store, forever.
 
-        A reader publishes after each answer of the store; this repeats that it
-        gets none.
+        A reader that gets some publishes after each of them.
         """
         while True:
             due_s = self._last_sent_at + const.READER_HEARTBEAT_S - self._now()
@@ -375,12 +374,18 @@
                 await asyncio.sleep(max(const.READER_CHECK_MIN_S, due_s))
                 continue
             if (
-                self._store_readers.is_reader()
+                not self._store_answers
+                and self._store_readers.is_reader()
                 and not self._receives_publications()
             ):
                 self._publish(self._revision)
             await asyncio.sleep(const.READER_HEARTBEAT_S)
 
+    @property
+    def _store_answers(self) -> bool:
+        """Whether the store answers this router's calls in time."""
+        return self._store_ok and not self._overdue
+
     def _publish(self, after_revision: int) -> None:
         """Sends other routers of the data centre what changed after a revision.
 
@@ -390,7 +395,7 @@
         names = self._store_readers.publish_targets()
         if not names:
             return
-        store_answers = self._store_ok and not self._overdue
+        store_answers = self._store_answers
         self._store_readers.note_answers(self._own_name, store_answers)
         if not store_answers and self._is_replaced():
             return
--- a/tests/dispatch/test_readers.py
+++ b/tests/dispatch/test_readers.py
@@ -234,6 +234,30 @@
                         scenario, routers=routers, data_centres=1, engines=1
                     )
 
+    def test_reader_publishes_no_more_often_than_the_store_answers(self):
+        async def scenario():
+            await asyncio.sleep(10.0)
+            feed = next(
+                router.feed
+                for router in self.fleet.routers.values()
+                if router.feed._store_readers.is_first_reader()
+            )
+            calls = 0
+            publish = feed._publish
+
+            def record(after_revision):
+                nonlocal calls
+                calls += 1
+                publish(after_revision)
+
+            with mock.patch.object(feed, "_publish", record):
+                await asyncio.sleep(12.0)
+            # A watch of a reader waits for 0.6 s.
+            self.assertLessEqual(calls, 12.0 / 0.6 + 1)
+            self.assertGreaterEqual(calls, 10)
+
+        self.run_large_fleet(scenario)
+
     # A router that its readers leave without news reads the store itself.
     def test_report_that_the_store_does_not_answer_is_no_news(self):
         async def scenario():
