--- a/review/rig2.py
+++ b/review/rig2.py
@@ -99,12 +99,16 @@
 
 
 async def read_body(
-    reader: asyncio.StreamReader, headers: dict[str, str]
+    reader: asyncio.StreamReader,
+    headers: dict[str, str],
+    parts: list[bytes] | None = None,
 ) -> bytes:
-    """Reads a body with a length or in chunks."""
+    """Reads a body with a length or in chunks, which are added to `parts`."""
+    parts = [] if parts is None else parts
     if headers.get("transfer-encoding", "").lower() != "chunked":
-        return await reader.readexactly(int(headers.get("content-length", 0)))
-    parts = []
+        length = int(headers.get("content-length", 0))
+        parts.append(await reader.readexactly(length))
+        return parts[0]
     while size := int((await reader.readline()).split(b";")[0], 16):
         parts.append(await reader.readexactly(size))
         await reader.readline()
@@ -126,6 +130,19 @@
     writer.write("\r\n".join(lines).encode("latin-1") + body)
 
 
+def start_chunks(writer: Writer, **headers: str) -> None:
+    """Writes the head of an answer whose body follows in chunks."""
+    lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+    lines += [f"{k.replace('_', '-')}: {v}" for k, v in headers.items()]
+    lines += ["transfer-encoding: chunked", "", ""]
+    writer.write("\r\n".join(lines).encode("latin-1"))
+
+
+def write_chunk(writer: Writer, data: bytes) -> None:
+    """Writes a chunk; an empty one ends the body."""
+    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+
 class Server:
     """Serves one request at a time on each channel."""
 
@@ -583,6 +600,10 @@
         )
         if self.version:
             self._use_kept_parts(request, run)
+        await self.run(request, run, writer)
+
+    async def run(self, request: Request, run: Run, writer: Writer) -> None:
+        """Works on a request and answers it."""
         await asyncio.sleep(self.work_s)
         run.done = True
         self._record.add(f"{self.name} has run {run.request_id}")
@@ -618,7 +639,7 @@
 
 @dataclasses.dataclass
 class Answer:
-    """What a requester received; status 0 if the channel broke."""
+    """What a requester received; status 0 if no head arrived."""
 
     request_id: str
     status: int
@@ -626,6 +647,7 @@
     body: bytes
     sent_at: float
     ended_at: float
+    whole: bool
 
 
 _ids = itertools.count(1)
@@ -656,7 +678,8 @@
     lines += [f"{name}: {value}" for name, value in headers.items()]
     data = "\r\n".join([*lines, "", ""]).encode() + body
     sent_at = record.now()
-    status, received, received_headers = 0, b"", {}
+    status, received_headers, whole = 0, {}, False
+    parts: list[bytes] = []
     record.add(f"requester sends {request_id} {path} to {address}")
     writer = None
     try:
@@ -665,16 +688,24 @@
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(data)
             first, received_headers = await read_head(reader)
-            received = await read_body(reader, received_headers)
             status = int(first.split(" ")[1])
+            await read_body(reader, received_headers, parts)
+            whole = True
     except (OSError, EOFError, ValueError, TimeoutError) as err:
         record.add(f"requester {request_id}: {err!r}")
     finally:
         if writer is not None:
             writer.close()
+    received = b"".join(parts)
     record.add(f"requester gets {request_id} {status} {received[:40]!r}")
     return Answer(
-        request_id, status, received_headers, received, sent_at, record.now()
+        request_id,
+        status,
+        received_headers,
+        received,
+        sent_at,
+        record.now(),
+        whole,
     )
 
 
@@ -825,10 +856,16 @@
             "platform": {"address": self.store.address},
         }
 
-    def add_replica(self, name: str, service: str, **options: Any) -> Replica:
+    def add_replica(
+        self,
+        name: str,
+        service: str,
+        make: Callable[..., Replica] = Replica,
+        **options: Any,
+    ) -> Replica:
         """Returns a new replica that is not started."""
         host = next(self._hosts)
-        replica = Replica(
+        replica = make(
             name,
             service,
             f"{self.network}.{host}:8080",
