--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,109 +1,161 @@
-"""A replica that left comes back with an older copy of the store."""
+"""Routers are stopped in turn; one takes streams that it cannot finish."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import rig2
 
 FOLDER = str(pathlib.Path(__file__).resolve().parent)
-DRAIN_S = rig2.BOUNDS["drainMs"] / 1000
-CONTACT_S = rig2.BOUNDS["contactMs"] / 1000
-# The store comes back from a copy that is this old.
-COPY_AGE_S = 3.0
-AWAY_S = 0.3
-# The entry in the copy is removed after three ping intervals of silence.
-EXPIRY_S = 3 * rig2.HEARTBEAT_S
-# How long the replica goes on serving after its entry was removed.
-SERVES_ON_S = 5.75
+GRACE_S = rig2.BOUNDS["graceS"]
+# Time between the stops, and from the end of a process to its next start.
+GAP_S = 1.3
+RESTART_S = 0.5
+# Output tokens of a stream: as many as the sheet names on average, and at most.
+USUAL_TOKENS = 76
+MOST_TOKENS = 224
+TOKEN_S = 0.021
+# When streams with the most tokens are sent, after SIGTERM; the rule excuses
+# those that were sent within 3 s after it.
+SENT_S = (3.2, 3.3, 3.4, 3.5, 3.6)
 ROUTE = {
-    "name": "filing",
+    "name": "review",
     "host": rig2.HOST,
-    "prefix": "/filing/",
-    "kind": "non_idempotent",
-    "timeoutMs": 3000,
+    "prefix": "/review/",
+    "kind": "stream",
+    "timeoutMs": 15000,
     "targetLatencyMs": 800,
     "priority": 1,
-    "service": "registry",
+    "service": "engines",
     "maxAttempts": 1,
     "anonymous": True,
+    "sessionAffinity": True,
+    "resumable": False,
+    "targetGapMs": 400,
 }
-SERVICES = [{"name": "registry", "healthPath": "/health", "maxConnections": 99}]
+SERVICES = [
+    {
+        "name": "engines",
+        "healthPath": "/health",
+        "maxConnections": 360,
+        "engine": {
+            "slots": 64,
+            "kvCapacityTokens": 259523,
+            "kvTokenBytes": 163840,
+            "models": [{"name": rig2.MODEL}],
+        },
+    }
+]
+
+
+class Engine(rig2.Replica):
+    """An engine whose streams take a fixed time for each token."""
+
+    async def run(
+        self, request: rig2.Request, run: rig2.Run, writer: rig2.Writer
+    ) -> None:
+        """Writes the events of a stream, in chunks."""
+        seal = {"Response_Seal": f"seal.{self.name}", **self.headers(request)}
+        rig2.start_chunks(writer, Weight_Versions=str(self.version), **seal)
+        tokens = int(request.headers["token-count"].split(",")[1])
+        for number in range(1, tokens + 1):
+            await asyncio.sleep(TOKEN_S)
+            rig2.write_chunk(writer, b"id: %d\ndata: t\n\n" % number)
+        run.done = True
+        rig2.write_chunk(writer, b"")
 
 
 def prepare() -> rig2.Deployment:
-    """Returns three routers and three replicas of a plain service."""
+    """Returns three routers and two engines."""
     deployment = rig2.Deployment(FOLDER)
-    for index in range(3):
-        deployment.add_replica(f"i-{index}", "registry", work_s=0.3)
+    for index in range(2):
+        deployment.add_replica(f"e-{index}", "engines", Engine, version=1)
     return deployment
 
 
 async def scenario(deployment: rig2.Deployment) -> bool:
-    """Returns whether the replica that left got nothing after `drainMs`."""
-    record, store = deployment.record, deployment.store
+    """Returns whether the second router cut no stream that it had taken."""
+    record = deployment.record
+    deployment.store.write(
+        f"op/version/{rig2.MODEL}", {"model": rig2.MODEL, "version": 1}
+    )
     await deployment.start(routes=[ROUTE], services=SERVICES, limits={})
-    stopped = asyncio.Event()
-    sender = asyncio.create_task(send_until(deployment, stopped))
-    await asyncio.sleep(1.0)
-    copy = store.copy()
-    await asyncio.sleep(0.7)
-    leaving = deployment.replicas["i-0"]
-    # It leaves as some replicas do: its entry is removed, and it serves on.
-    leaving.deregister()
-    left_at = record.now()
-    await asyncio.sleep(COPY_AGE_S - 0.7 - AWAY_S)
-    back_at = record.now()
+    async with asyncio.TaskGroup() as group:
+        for index in range(30):
+            router = deployment.routers[index % len(deployment.routers)]
+            group.create_task(send(deployment, router, USUAL_TOKENS))
+            await asyncio.sleep(0.1)
+    stops = []
     if deployment.trouble:
-        await store.restore(copy, AWAY_S)
-        back_at = record.now()
-        loop = asyncio.get_running_loop()
-        loop.call_later(EXPIRY_S, leaving.deregister)
-    await asyncio.sleep(SERVES_ON_S - (record.now() - left_at))
-    await leaving.close()
-    await asyncio.sleep(1.0)
-    stopped.set()
-    answers = await sender
-    late = [run for run in leaving.runs if run.at > left_at + DRAIN_S]
-    in_touch = [run for run in late if run.at > back_at + CONTACT_S]
-    for run in late:
+        stops = [
+            asyncio.create_task(stop(deployment, router, index * GAP_S))
+            for index, router in enumerate(deployment.routers)
+        ]
+    second = deployment.routers[1]
+    await asyncio.sleep(GAP_S)
+    stopped_at = record.now()
+    calls = []
+    for after_s in SENT_S:
+        await asyncio.sleep(after_s - (record.now() - stopped_at))
+        calls.append(asyncio.create_task(send(deployment, second, MOST_TOKENS)))
+    answers = await asyncio.gather(*calls)
+    await asyncio.gather(*stops)
+    lost = []
+    for item in answers:
+        sent_s = item.sent_at - stopped_at
+        events = item.body.count(b"id: ")
         record.add(
-            f"{run.request_id} reached i-0 {run.at - left_at:.2f} s after its"
-            f" entry was removed, {run.at - back_at:.2f} s after the store"
-            " was back"
+            f"{item.request_id} sent {sent_s:.2f} s after SIGTERM: status"
+            f" {item.status}, {events} events, ended"
+            f" {item.ended_at - stopped_at:.2f} s after SIGTERM,"
+            f" {'whole' if item.whole else 'not whole'}"
         )
-    cut = {run.request_id for run in leaving.runs if not run.done}
-    for item in answers:
-        if item.request_id in cut:
-            record.add(f"{item.request_id} was cut and got {item.status}")
-    record.add(
-        f"{len(late)} requests reached i-0 later than drainMs, of which"
-        f" {len(in_touch)} contactMs after the store was back; {len(cut)} were"
-        " cut as i-0 ended"
-    )
-    return not in_touch
-
-
-async def send_until(
-    deployment: rig2.Deployment, stopped: asyncio.Event
-) -> list[rig2.Answer]:
-    """Sends requests to the routers in turn."""
-    tasks = []
-    while not stopped.is_set():
-        router = deployment.routers[len(tasks) % len(deployment.routers)]
-        tasks.append(
-            asyncio.create_task(
-                rig2.call(
-                    deployment.record,
-                    router.front,
-                    "/filing/x",
-                    Deadline_Ms="3000",
-                )
-            )
+        ran = any(
+            run.request_id == item.request_id
+            for replica in deployment.replicas.values()
+            for run in replica.runs
         )
-        await asyncio.sleep(0.05)
-    return await asyncio.gather(*tasks)
+        if ran and not item.whole:
+            lost.append(item.request_id)
+    record.add(f"LOST: {len(lost)} streams were taken, passed on and cut")
+    return not lost
+
+
+async def send(
+    deployment: rig2.Deployment, router: rig2.Router, tokens: int
+) -> rig2.Answer:
+    """Sends a request for a stream to a router."""
+    return await rig2.call(
+        deployment.record,
+        router.front,
+        "/review/x",
+        Model=rig2.MODEL,
+        Token_Count=f"5900,{tokens}",
+        Prompt_Prefix=f"5c1e07a2:800,91bd3f06:4100,{rig2.new_id()}:1000",
+        Deadline_Ms="15000",
+    )
+
+
+async def stop(
+    deployment: rig2.Deployment, router: rig2.Router, after_s: float
+) -> None:
+    """Stops a router as the platform does, and starts it again."""
+    await asyncio.sleep(after_s)
+    deployment.record.add(f"{router.name} gets SIGTERM")
+    router.send(signal.SIGTERM)
+    try:
+        async with asyncio.timeout(GRACE_S):
+            await router.process.wait()
+    except TimeoutError:
+        router.send(signal.SIGKILL)
+        await router.process.wait()
+    deployment.record.add(f"{router.name} has ended")
+    await asyncio.sleep(RESTART_S)
+    await router.start()
+    await deployment.wait_ready(router)
+    deployment.record.add(f"{router.name} is ready again")
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,25 +1,14 @@
-"""Routers are stopped in turn; one takes streams that it cannot finish."""
+"""A tenant becomes isolated; others go on using the KV cache that it made."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import rig2
 
 FOLDER = str(pathlib.Path(__file__).resolve().parent)
-GRACE_S = rig2.BOUNDS["graceS"]
-# Time between the stops, and from the end of a process to its next start.
-GAP_S = 1.3
-RESTART_S = 0.5
-# Output tokens of a stream: as many as the sheet names on average, and at most.
-USUAL_TOKENS = 76
-MOST_TOKENS = 224
-TOKEN_S = 0.021
-# When streams with the most tokens are sent, after SIGTERM; the rule excuses
-# those that were sent within 3 s after it.
-SENT_S = (3.2, 3.3, 3.4, 3.5, 3.6)
+APPLY_S = rig2.BOUNDS["configApplyMs"] / 1000
 ROUTE = {
     "name": "review",
     "host": rig2.HOST,
@@ -30,7 +19,7 @@
     "priority": 1,
     "service": "engines",
     "maxAttempts": 1,
-    "anonymous": True,
+    "anonymous": False,
     "sessionAffinity": True,
     "resumable": False,
     "targetGapMs": 400,
@@ -48,115 +37,88 @@
         },
     }
 ]
+KEYS = {"firm": "key-of-the-firm", "other": "key-of-the-other"}
+# Parts of a prompt, which requests share up to the last one.
+SHARED = "5c1e07a2:800,91bd3f06:4100"
 
 
-class Engine(rig2.Replica):
-    """An engine whose streams take a fixed time for each token."""
-
-    async def run(
-        self, request: rig2.Request, run: rig2.Run, writer: rig2.Writer
-    ) -> None:
-        """Writes the events of a stream, in chunks."""
-        seal = {"Response_Seal": f"seal.{self.name}", **self.headers(request)}
-        rig2.start_chunks(writer, Weight_Versions=str(self.version), **seal)
-        tokens = int(request.headers["token-count"].split(",")[1])
-        for number in range(1, tokens + 1):
-            await asyncio.sleep(TOKEN_S)
-            rig2.write_chunk(writer, b"id: %d\ndata: t\n\n" % number)
-        run.done = True
-        rig2.write_chunk(writer, b"")
+def tenants(isolated: bool) -> list[dict[str, object]]:
+    """Returns the tenants of a configuration."""
+    return [
+        {
+            "name": name,
+            "apiKeys": [key],
+            "priority": 1,
+            "isolated": isolated and name == "firm",
+        }
+        for name, key in KEYS.items()
+    ]
 
 
 def prepare() -> rig2.Deployment:
     """Returns three routers and two engines."""
     deployment = rig2.Deployment(FOLDER)
     for index in range(2):
-        deployment.add_replica(f"e-{index}", "engines", Engine, version=1)
+        deployment.add_replica(f"e-{index}", "engines", version=1)
     return deployment
 
 
 async def scenario(deployment: rig2.Deployment) -> bool:
-    """Returns whether the second router cut no stream that it had taken."""
+    """Returns whether no request used KV cache across the wall."""
     record = deployment.record
+    parts = {"routes": [ROUTE], "services": SERVICES, "limits": {}}
     deployment.store.write(
         f"op/version/{rig2.MODEL}", {"model": rig2.MODEL, "version": 1}
     )
-    await deployment.start(routes=[ROUTE], services=SERVICES, limits={})
-    async with asyncio.TaskGroup() as group:
-        for index in range(30):
-            router = deployment.routers[index % len(deployment.routers)]
-            group.create_task(send(deployment, router, USUAL_TOKENS))
-            await asyncio.sleep(0.1)
-    stops = []
+    await deployment.start(tenants=tenants(False), **parts)
+    # The firm, not isolated yet, has its file read.
+    for index in range(6):
+        await send(deployment, index, "firm")
+    acked_at = record.now()
     if deployment.trouble:
-        stops = [
-            asyncio.create_task(stop(deployment, router, index * GAP_S))
-            for index, router in enumerate(deployment.routers)
-        ]
-    second = deployment.routers[1]
-    await asyncio.sleep(GAP_S)
-    stopped_at = record.now()
-    calls = []
-    for after_s in SENT_S:
-        await asyncio.sleep(after_s - (record.now() - stopped_at))
-        calls.append(asyncio.create_task(send(deployment, second, MOST_TOKENS)))
-    answers = await asyncio.gather(*calls)
-    await asyncio.gather(*stops)
-    lost = []
-    for item in answers:
-        sent_s = item.sent_at - stopped_at
-        events = item.body.count(b"id: ")
+        deployment.configure(tenants=tenants(True), **parts)
+        acked_at = record.now()
+    await asyncio.sleep(APPLY_S + 1.5)
+    began = record.now()
+    answers = [await send(deployment, index, "other") for index in range(6)]
+    if any(item.status != 200 for item in answers):
+        raise RuntimeError("a request was not served")
+    # Whom the configuration in force isolates.
+    isolated = {"firm"} if deployment.trouble else set()
+    crossings = []
+    for replica in deployment.replicas.values():
+        for run in replica.runs:
+            makers = {name for name in KEYS if f"<-{name}" in run.note}
+            tenants_met = makers | {run.tenant}
+            if run.at >= began and makers and len(tenants_met) > 1:
+                record.add(f"{run.request_id} used parts of {sorted(makers)}")
+                if tenants_met & isolated:
+                    crossings.append(run)
+    for run in crossings:
         record.add(
-            f"{item.request_id} sent {sent_s:.2f} s after SIGTERM: status"
-            f" {item.status}, {events} events, ended"
-            f" {item.ended_at - stopped_at:.2f} s after SIGTERM,"
-            f" {'whole' if item.whole else 'not whole'}"
-        )
-        ran = any(
-            run.request_id == item.request_id
-            for replica in deployment.replicas.values()
-            for run in replica.runs
+            f"WALL: {run.request_id}, {run.at - acked_at:.2f} s after"
+            " the configuration that isolates 'firm', used parts that requests"
+            f" of 'firm' made: {run.note}"
         )
-        if ran and not item.whole:
-            lost.append(item.request_id)
-    record.add(f"LOST: {len(lost)} streams were taken, passed on and cut")
-    return not lost
+    return not crossings
 
 
 async def send(
-    deployment: rig2.Deployment, router: rig2.Router, tokens: int
+    deployment: rig2.Deployment, index: int, tenant: str
 ) -> rig2.Answer:
-    """Sends a request for a stream to a router."""
+    """Sends a request of a tenant to one router after the other."""
+    router = deployment.routers[index % len(deployment.routers)]
     return await rig2.call(
         deployment.record,
         router.front,
         "/review/x",
+        Key=KEYS[tenant],
         Model=rig2.MODEL,
-        Token_Count=f"5900,{tokens}",
-        Prompt_Prefix=f"5c1e07a2:800,91bd3f06:4100,{rig2.new_id()}:1000",
+        Token_Count="5900,3",
+        Prompt_Prefix=f"{SHARED},{rig2.new_id()}:1000",
         Deadline_Ms="15000",
     )
 
 
-async def stop(
-    deployment: rig2.Deployment, router: rig2.Router, after_s: float
-) -> None:
-    """Stops a router as the platform does, and starts it again."""
-    await asyncio.sleep(after_s)
-    deployment.record.add(f"{router.name} gets SIGTERM")
-    router.send(signal.SIGTERM)
-    try:
-        async with asyncio.timeout(GRACE_S):
-            await router.process.wait()
-    except TimeoutError:
-        router.send(signal.SIGKILL)
-        await router.process.wait()
-    deployment.record.add(f"{router.name} has ended")
-    await asyncio.sleep(RESTART_S)
-    await router.start()
-    await deployment.wait_ready(router)
-    deployment.record.add(f"{router.name} is ready again")
-
-
 if __name__ == "__main__":
     sys.exit(rig2.main(scenario, prepare))
