--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """Routers are stopped in turn; one takes streams that it cannot finish."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -9,6 +10,8 @@
 import rig2
 
 FOLDER = str(pathlib.Path(__file__).resolve().parent)
+# Without the disruption, for comparison, if TROUBLE is 0.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GRACE_S = rig2.BOUNDS["graceS"]
 # Time between the stops, and from the end of a process to its next start.
 GAP_S = 1.3
@@ -69,7 +72,7 @@
 
 def prepare() -> rig2.Deployment:
     """Returns three routers and two engines."""
-    deployment = rig2.Deployment(FOLDER)
+    deployment = rig2.Deployment(FOLDER, TROUBLE)
     for index in range(2):
         deployment.add_replica(f"e-{index}", "engines", Engine, version=1)
     return deployment
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """A tenant becomes isolated; others go on using the KV cache that it made."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -8,6 +9,8 @@
 import rig2
 
 FOLDER = str(pathlib.Path(__file__).resolve().parent)
+# Without the disruption, for comparison, if TROUBLE is 0.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 APPLY_S = rig2.BOUNDS["configApplyMs"] / 1000
 ROUTE = {
     "name": "review",
@@ -57,7 +60,7 @@
 
 def prepare() -> rig2.Deployment:
     """Returns three routers and two engines."""
-    deployment = rig2.Deployment(FOLDER)
+    deployment = rig2.Deployment(FOLDER, TROUBLE)
     for index in range(2):
         deployment.add_replica(f"e-{index}", "engines", version=1)
     return deployment
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -819,9 +819,19 @@
 class Deployment:
     """The store, the replicas and the router processes of a case."""
 
-    def __init__(self, folder: str, routers: int = 3, zones: int = 3):
+    def __init__(
+        self, folder: str, trouble: bool, routers: int = 3, zones: int = 3
+    ):
+        """Makes a deployment that is not started.
+
+        Args:
+            folder: where the record is written.
+            trouble: whether the case is disturbed.
+            routers: number of router processes.
+            zones: number of zones.
+        """
         self.record = Record(folder)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
         self._folder = tempfile.TemporaryDirectory()
         self.network = _free_network(250)
         self.zones = [f"zone-{index}" for index in range(zones)]
