Shutdown: the last router takes a stream only if its bound fits

Cause: such a router took what one and a half times the longest recent request of the route left time for, whatever the request's own size. The check was not repeated after a wait for a place or for allowance.

Change: a stream needs an upper bound on its own duration: the slowest recent pace of its model times the tokens that it may generate, and the longest recent time to a first event. Without one, its time limit decides. The check is repeated before a call is sent. Streams that have begun go on while the last responses are written.

--- a/bergamotmill/dispatch/attempt_runner.py
+++ b/bergamotmill/dispatch/attempt_runner.py
@@ -114,6 +114,7 @@
         call = progress.call
         progress.tried_upstreams.add(upstream.entry.name)
         progress.answer_began_at = None
+        progress.events_received = 0
         progress.run_tracker.mark_sending()
         upstream.note_started(
             call.request_id, workload.work_s, self._now(), workload.expected_s
--- a/bergamotmill/dispatch/call_decisions.py
+++ b/bergamotmill/dispatch/call_decisions.py
@@ -40,6 +40,7 @@
 
     Attributes:
         durations: how long requests of each route take.
+        stream_durations: how long streams take.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self._now = now
         self._rng = rng
         self.durations = shutdown.LongestDurations()
+        self.stream_durations = shutdown.StreamDurations()
 
     def time_rejection(
         self, progress: call_progress.Progress, started: bool
@@ -93,9 +95,45 @@
             self.durations.longest_s(call.route.name),
             call.route.repeatable,
             self._others_serve(),
+            call.route.is_stream,
+            self._stream_bound_s(call),
         )
         return shutdown.may_complete(prospect, exit_s)
 
+    def _stream_bound_s(self, call: messages.Call) -> float | None:
+        """Returns an upper bound on a stream's duration; None if unknown."""
+        generation = call.generation
+        if generation is None:
+            return None
+        tokens = generation.output_tokens
+        if tokens > 0 and call.last_event_id.isdecimal():
+            # Each event that the caller has is one token or more.
+            tokens = max(1, tokens - int(call.last_event_id))
+        return self.stream_durations.bound_s(
+            call.route.name, generation.model, tokens
+        )
+
+    def note_stream(self, progress: call_progress.Progress) -> None:
+        """Records how long a stream took, if that depended on its engine."""
+        call = progress.call
+        began_at = progress.answer_began_at
+        if (
+            call.generation is None
+            or not call.route.is_stream
+            or began_at is None
+            or progress.was_paused
+            or len(progress.tried_upstreams) > 1
+        ):
+            return
+        self.stream_durations.record(
+            call.route.name,
+            call.generation.model,
+            began_at - call.received_at,
+            progress.last_data_at - began_at,
+            progress.events_received,
+            self._now(),
+        )
+
     def leaving_rejection(
         self, progress: call_progress.Progress, reason: str
     ) -> messages.Rejection:
@@ -105,8 +143,12 @@
         replaced.
         """
         exit_s = max(0.0, self._seconds_until_exit())
-        limit_s = progress.call.deadline - self._now()
+        call = progress.call
+        limit_s = call.deadline - self._now()
         progress.last_error = f"limit {limit_s:.2f} s, exit in {exit_s:.2f} s"
+        stream_s = self._stream_bound_s(call)
+        if stream_s is not None:
+            progress.last_error += f", stream of {stream_s:.2f} s at most"
         retry_after_s = LEAVING_RETRY_AFTER_S
         if not self._others_serve():
             retry_after_s = self.time_until_room_s(exit_s)
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -68,8 +68,11 @@
 DIRECTORY_LINGER_S = 5.0
 # The process exits this long before the end of the grace period.
 EXIT_MARGIN_S = 0.5
-# Time to write responses to the calls that have not completed by then.
-LAST_RESPONSES_S = 0.1
+# Time to write responses to the calls that have not completed by then. Streams
+# that have begun, which no response can end, go on meanwhile.
+LAST_RESPONSES_S = 0.2
+# Time to close the connections of streams that are cut then.
+CLOSING_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -819,8 +822,10 @@
             max(0.0, grace_s - EXIT_MARGIN_S - elapsed_s)
         )
         if not drained:
-            self.dispatcher.end_calls()
-            await self._front.drain(LAST_RESPONSES_S)
+            self.dispatcher.end_unstarted_calls()
+            if not await self._front.drain(LAST_RESPONSES_S):
+                self.dispatcher.end_calls()
+                await self._front.drain(CLOSING_S)
         decisions.record("stopped", whole=drained)
 
     async def close(self) -> None:
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -209,8 +209,14 @@
             ):
                 item.end(call_decisions.REASON_LEAVING)
 
+    def end_unstarted_calls(self) -> None:
+        """Rejects the open calls whose responses have not begun."""
+        for item in list(self._open.values()):
+            if not item.sink.started:
+                item.end(REASON_ENDED)
+
     def end_calls(self) -> None:
-        """Rejects all open calls, as this process is about to end."""
+        """Ends all open calls, as this process is about to end."""
         for item in list(self._open.values()):
             item.end(REASON_ENDED)
 
@@ -295,7 +301,7 @@
             allowance = await self._claim_allowance(progress, choice)
             if allowance is None:
                 continue
-            if not self._may_still_send(progress, choice):
+            if not self._may_still_send(progress, sink, choice):
                 self._allowances.give_back(allowance)
                 continue
             if progress.attempts_sent and not budget.try_take(self._now()):
@@ -379,9 +385,12 @@
         return None
 
     def _may_still_send(
-        self, progress: call_progress.Progress, choice: placement.Choice
+        self,
+        progress: call_progress.Progress,
+        sink: ports.Sink,
+        choice: placement.Choice,
     ) -> bool:
-        """Whether a choice still holds after a wait for allowance."""
+        """Whether a choice still holds after a wait for it or for allowance."""
         upstream = choice.best.upstream
         known = self._fleet.upstreams
         return (
@@ -389,6 +398,7 @@
             and known.accepts_work(upstream)
             and not upstream.pause_left_s(self._now())
             and not self._is_held_back(progress)
+            and (sink.started or self._decisions.may_complete(progress.call))
         )
 
     def _pick_service(self, route: config.Route) -> str:
@@ -668,6 +678,7 @@
             self._decisions.durations.record(
                 call.route.name, seconds, self._now()
             )
+            self._decisions.note_stream(progress)
         self._metrics.count(f"requests.{outcome}")
         self._metrics.timing(f"whole.{call.route.name}", seconds)
         records.log_outcome(
--- a/bergamotmill/dispatch/progress.py
+++ b/bergamotmill/dispatch/progress.py
@@ -33,6 +33,8 @@
         last_data_at: monotonic time when the upstream last sent data.
         answer_began_at: monotonic time of the first event that the present
             upstream sent; None before it, and for plain responses.
+        events_received: number of events that the present upstream sent.
+        was_paused: whether the stream waited for its caller to read.
         standby: engine that keeps a copy of the run's KV memory.
         fingerprint: name that all requests with the same route, path, customer
             and body share.
@@ -58,6 +60,8 @@
         self.first_byte_s = 0.0
         self.last_data_at = 0.0
         self.answer_began_at: float | None = None
+        self.events_received = 0
+        self.was_paused = False
         self.standby: standby.Standby | None = None
         identity = (
             call.route.name,
--- a/bergamotmill/dispatch/relay.py
+++ b/bergamotmill/dispatch/relay.py
@@ -253,6 +253,7 @@
                 continue
             if progress.answer_began_at is None:
                 progress.answer_began_at = self._now()
+            progress.events_received += len(events)
             if resumed_after:
                 _check_resumed_event(events[0], resumed_after)
                 resumed_after = ""
@@ -266,6 +267,7 @@
             if sink.write_paused:
                 # A paused stream holds only what its connections count.
                 del data, events
+                progress.was_paused = True
                 await pauses.wait()
         if splitter.partial:
             raise errors.UpstreamError(
--- a/bergamotmill/routing/shutdown.py
+++ b/bergamotmill/routing/shutdown.py
@@ -4,7 +4,10 @@
 caller cannot tell whether it has run; a request that is refused can be sent to
 another router at once. So a request is taken if its time limit ends before the
 process does. If no other router serves, refusing costs more, and what requests
-of its route took lately decides instead.
+of its route took lately decides instead. A plain response that is not complete
+at the end is replaced by an error, but a stream that has begun can only be cut.
+So a stream needs an upper bound on its own duration, from the most tokens that
+it may generate.
 """
 
 import dataclasses
@@ -13,6 +16,11 @@
 RESPONSE_MARGIN_S = 0.1
 # A request may take this many times as long as the longest recent one.
 LONGEST_FACTOR = 1.5
+# A stream may take this many times as long for a token as the slowest recent
+# one of its model.
+SLOWEST_PACE_FACTOR = 1.05
+# Streams with fewer events than this do not show the pace of a model.
+MIN_PACE_EVENTS = 16
 # The longest durations of the present and of the previous period count.
 PERIOD_S = 60.0
 # Routes whose durations are remembered at most.
@@ -29,12 +37,17 @@
             seconds; None if there were none.
         may_repeat: whether a caller may send it again after it was cut.
         others_serve: whether other routers take requests.
+        is_stream: whether its response is forwarded while it is received.
+        stream_s: upper bound on the duration of a stream, in seconds; None if
+            nothing bounds it but its time limit.
     """
 
     limit_s: float
     longest_s: float | None
     may_repeat: bool
     others_serve: bool
+    is_stream: bool = False
+    stream_s: float | None = None
 
 
 def may_complete(prospect: Prospect, exit_s: float) -> bool:
@@ -50,6 +63,8 @@
         return True
     if prospect.others_serve or left_s <= 0:
         return False
+    if prospect.is_stream:
+        return prospect.stream_s is not None and prospect.stream_s <= left_s
     if prospect.longest_s is None:
         return prospect.may_repeat
     return prospect.longest_s * LONGEST_FACTOR <= left_s
@@ -65,7 +80,7 @@
 
 
 class LongestDurations:
-    """Remembers how long the longest recent requests of each route took."""
+    """Remembers the longest recent duration of each kind, such as a route."""
 
     def __init__(self) -> None:
         self._by_route: dict[str, _Longest] = {}
@@ -88,3 +103,62 @@
         if longest is None:
             return None
         return max(longest.present_s, longest.previous_s)
+
+
+class StreamDurations:
+    """Bounds the duration of streams by how fast recent ones were.
+
+    A stream takes a time until its first event, which depends on its route, and
+    then at most as many events as it may generate tokens.
+    """
+
+    def __init__(self) -> None:
+        self._starts = LongestDurations()
+        self._paces = LongestDurations()
+
+    def record(
+        self,
+        route: str,
+        model: str,
+        start_s: float,
+        rest_s: float,
+        events: int,
+        now: float,
+    ) -> None:
+        """Records a stream that its caller read without pauses.
+
+        Args:
+            route: name of its route.
+            model: name of its model.
+            start_s: time until its first event, in seconds.
+            rest_s: time from its first to its last event, in seconds.
+            events: number of its events.
+            now: the monotonic clock.
+        """
+        if events < MIN_PACE_EVENTS:
+            start_s += rest_s
+        else:
+            self._paces.record(model, rest_s / (events - 1), now)
+        self._starts.record(route, start_s, now)
+
+    def bound_s(self, route: str, model: str, tokens: int) -> float | None:
+        """Returns an upper bound on the duration of a stream, in seconds.
+
+        Args:
+            route: name of its route.
+            model: name of its model.
+            tokens: the most tokens that it may still generate; 0 if unknown.
+
+        Returns:
+            The bound; None if recent streams or its size do not show one.
+        """
+        start_s = self._starts.longest_s(route)
+        if start_s is None or tokens <= 0:
+            return None
+        bound_s = LONGEST_FACTOR * start_s
+        if tokens < MIN_PACE_EVENTS:
+            return bound_s
+        pace_s = self._paces.longest_s(model)
+        if pace_s is None:
+            return None
+        return bound_s + SLOWEST_PACE_FACTOR * pace_s * tokens
--- a/tests/dispatch/test_shutdown.py
+++ b/tests/dispatch/test_shutdown.py
@@ -244,6 +244,104 @@
         self.run_fleet(scenario)
 
 
+class LastRouterStreamTest(ShutdownCase):
+    """No other router serves, and streams differ in length."""
+
+    USUAL, LONG = 76, 224
+
+    async def prepare(self):
+        """Serves a few streams, of about 21 ms an event."""
+        await self.publish_timeouts(15)
+        for name in ("e0", "e1", "e2"):
+            self.fleet.replicas[name].tokens_per_event = 6
+        for _ in range(6):
+            answer = await self.fleet.call("review", output=self.USUAL)
+            self.assert_complete_stream(answer, self.USUAL)
+
+    async def send_after(self, seconds, output, request_id):
+        await asyncio.sleep(seconds)
+        return await self.fleet.call(
+            "review", output=output, request_id=request_id
+        )
+
+    async def send_series(self, begins_s, output):
+        return await asyncio.gather(
+            *(
+                self.send_after(begin_s, output, f"{output}-{begin_s}")
+                for begin_s in begins_s
+            )
+        )
+
+    # LOST, review/6: streams three times as long as all before were taken by
+    # the last router and cut at its end.
+    def test_longer_stream_is_refused_if_it_may_outlast_the_process(self):
+        async def scenario():
+            await self.prepare()
+            stopping = self.stop()
+            begins_s = (3.2, 3.4, 3.6, 3.9)
+            answers = await self.send_series(begins_s, self.LONG)
+            for begin_s, answer in zip(begins_s, answers, strict=True):
+                self.assert_refused_unrun(answer, f"{self.LONG}-{begin_s}")
+            await stopping
+
+        self.run_fleet(scenario, routers=1)
+
+    def test_streams_that_fit_are_served(self):
+        async def scenario():
+            await self.prepare()
+            sent = []
+            stopping = self.stop()
+            for begins_s, output in (
+                ((0.1, 1.0, 1.9), self.LONG),
+                ((0.1, 2.0, 3.9), self.USUAL),
+                ((0.1, 3.9), 3),
+            ):
+                answers = self.send_series(begins_s, output)
+                sent.append((asyncio.create_task(answers), output))
+            for answers, output in sent:
+                for answer in await answers:
+                    self.assert_complete_stream(answer, output)
+            await stopping
+
+        self.run_fleet(scenario, routers=1)
+
+    # LOST: nothing is known of streams on any route.
+    def test_stream_of_unknown_duration_is_refused(self):
+        async def scenario():
+            await self.publish_timeouts(15)
+            stopping = self.stop()
+            for number, route in enumerate(("review", "check")):
+                answer = await self.fleet.call(
+                    route, output=self.LONG, request_id=f"unknown-{number}"
+                )
+                self.assert_refused_unrun(answer, f"unknown-{number}")
+            await stopping
+
+        self.run_fleet(scenario, routers=1)
+
+    # LOST: a request that fitted when it arrived was sent after a wait for its
+    # place or its allowance, and cut.
+    def test_stream_that_waited_too_long_is_not_sent(self):
+        async def scenario():
+            await self.prepare()
+            router = self.fleet.routers[0].dispatcher
+            claim = router._allowances.claim
+
+            async def claim_late(*args):
+                await asyncio.sleep(2.0)
+                return await claim(*args)
+
+            router._allowances.is_unlimited = lambda upstream: False
+            router._allowances.claim = claim_late
+            stopping = self.stop()
+            answer = await self.send_after(1.5, self.LONG, "waited")
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(self.fleet.runs("waited"), [])
+            await stopping
+
+        self.run_fleet(scenario, routers=1)
+
+
 class OtherPlannedWorkTest(ShutdownCase):
     # LOST names SIGHUP and new configurations as planned work, too.
     def test_settings_and_configurations_cut_no_call(self):
--- a/tests/routing/test_shutdown.py
+++ b/tests/routing/test_shutdown.py
@@ -37,6 +37,46 @@
         self.assertFalse(last(None, 0.0, may_repeat=True))
 
 
+class StreamTest(unittest.TestCase):
+    # LOST, review/6: a stream was taken by what others of its route took.
+    def test_own_bound_decides_at_the_last_router(self):
+        def takes(stream_s, exit_s, longest_s=0.1):
+            item = shutdown.Prospect(
+                30.0, longest_s, True, False, True, stream_s
+            )
+            return shutdown.may_complete(item, exit_s)
+
+        self.assertTrue(takes(4.0, 4.2))
+        self.assertFalse(takes(4.0, 4.0))
+        # Only the time limit bounds it.
+        self.assertFalse(takes(None, 29.0))
+        self.assertTrue(takes(None, 30.2))
+
+    def test_bound_grows_with_the_tokens(self):
+        durations = shutdown.StreamDurations()
+        self.assertIsNone(durations.bound_s("a", "m", 100))
+        durations.record("a", "m", 0.2, 2.0, 101, 0.0)
+        self.assertAlmostEqual(durations.bound_s("a", "m", 100), 0.3 + 2.1)
+        self.assertAlmostEqual(durations.bound_s("a", "m", 300), 0.3 + 6.3)
+        self.assertAlmostEqual(durations.bound_s("a", "m", 2), 0.3)
+        # Without a size, with another model, or on a route without streams.
+        self.assertIsNone(durations.bound_s("a", "m", 0))
+        self.assertIsNone(durations.bound_s("a", "n", 100))
+        self.assertIsNone(durations.bound_s("b", "m", 100))
+
+    def test_slowest_recent_stream_counts(self):
+        durations = shutdown.StreamDurations()
+        durations.record("a", "m", 0.2, 2.0, 101, 0.0)
+        durations.record("a", "m", 0.4, 1.0, 101, 1.0)
+        self.assertAlmostEqual(durations.bound_s("a", "m", 100), 0.6 + 2.1)
+
+    def test_few_events_do_not_show_a_pace(self):
+        durations = shutdown.StreamDurations()
+        durations.record("a", "m", 0.2, 0.8, 3, 0.0)
+        self.assertAlmostEqual(durations.bound_s("a", "m", 3), 1.5)
+        self.assertIsNone(durations.bound_s("a", "m", 100))
+
+
 class LongestDurationsTest(unittest.TestCase):
     def test_longest_of_two_periods_counts(self):
         durations = shutdown.LongestDurations()
