KV cache: a customer that becomes isolated leaves a scope nobody shares

Cause: all customers that are not isolated had one scope in common under every configuration, and what is cached there outlives the change. On the way, a call that waited and a stream that continued at its standby kept the scope of an earlier configuration, and a customer without a key was not seen as isolated.

Change: the shared scope is named for a set of customers that every router keeps out of it. A configuration that isolates one outside the set begins a new set; all others leave it. Routers that have just started learn from peers who was isolated before. The scope is looked up when an attempt is planned.

--- a/bergamotmill/dispatch/config.py
+++ b/bergamotmill/dispatch/config.py
@@ -203,7 +203,20 @@
         stores: Iterable[KvOffloadStore] = (),
         customers: Mapping[str, Customer] | None = None,
         limits: CallerLimits | None = None,
+        isolated_customers: Iterable[str] = (),
     ):
+        """Makes a snapshot.
+
+        Args:
+            version: the configuration's version.
+            routes: all routes.
+            services: services of upstreams.
+            stores: KV offload stores.
+            customers: customers by key; None if requests need no key.
+            limits: limits on callers.
+            isolated_customers: names of isolated customers, including those
+                without a key.
+        """
         self._version = version
         self._routes: dict[str, list[Route]] = {}
         for route in routes:
@@ -218,6 +231,11 @@
             for customer in (customers or {}).values()
             if customer.limit is not None
         }
+        self._isolated_customers = frozenset(isolated_customers).union(
+            customer.name
+            for customer in (customers or {}).values()
+            if customer.isolated
+        )
         self._limits = limits or CallerLimits()
 
     @property
@@ -245,6 +263,11 @@
         """Limits by name of the customer; those without one are left out."""
         return self._customer_limits
 
+    @property
+    def isolated_customers(self) -> frozenset[str]:
+        """Names of the customers whose KV cache is kept apart."""
+        return self._isolated_customers
+
     @property
     def has_customers(self) -> bool:
         """Whether customers are configured, so that requests need a key."""
--- a/bergamotmill/dispatch/const.py
+++ b/bergamotmill/dispatch/const.py
@@ -75,6 +75,9 @@
 AGE_QUERY_PEERS = 3
 AGE_QUERY_PERIOD_S = 0.3
 AGE_QUERY_MAX_AGE_S = 12.0
+# A router that has just started requests the scopes of KV cache with them, this
+# many times at most.
+MAX_CACHE_SCOPE_QUERIES = 20
 # Ranks in an engine's queue, lowest number first. A request whose earlier
 # attempt failed goes before all others.
 URGENCY_RETRY = 1
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -159,6 +159,7 @@
             - const.STARTUP_OLD_WEIGHTS_S,
         )
         self.feed.set_weights_ages(self.fleet)
+        self.feed.set_cache_scopes(self.fleet.cache_scopes)
         self.membership = fleet_membership.Membership(
             fleet_members.Member(
                 own.name,
@@ -727,15 +728,26 @@
         await self.liveness.run()
 
     async def _run_age_requests(self) -> None:
-        """Requests ages of weights and lost documents from peers.
+        """Requests from peers what the store does not tell.
 
         Only while this router has to estimate when a target version was set,
         as it does right after its start, and while the store may lack documents
-        because it was restored from an older copy.
+        because it was restored from an older copy; and until a peer has told
+        the scopes of KV cache.
         """
+        scope_queries = 0
         while True:
             await asyncio.sleep(const.AGE_QUERY_PERIOD_S)
-            if self.fleet.has_estimated_ages or self.feed.may_lack_versions:
+            lacks_scopes = (
+                self.fleet.cache_scopes.may_differ
+                and scope_queries < const.MAX_CACHE_SCOPE_QUERIES
+            )
+            scope_queries += lacks_scopes
+            if (
+                lacks_scopes
+                or self.fleet.has_estimated_ages
+                or self.feed.may_lack_versions
+            ):
                 await self._request_ages()
 
     async def _request_ages(self) -> None:
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -16,7 +16,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 import dataclasses
 import math
 import random
@@ -91,6 +91,24 @@
         """Applies an entry that a peer knows."""
 
 
+class CacheScopes(Protocol):
+    """Keeps the customers that do not share KV cache.
+
+    Those that were isolated before a router started are known to peers only.
+    """
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration."""
+
+    @property
+    def formerly_isolated(self) -> Collection[str]:
+        """Customers that are kept apart although they are not isolated."""
+
+    def merge(self, source: str, version: int, names: Iterable[str]) -> None:
+        """Adds the customers that a peer keeps apart."""
+
+
 class StoreReaders(Protocol):
     """Selects the routers that read the store directly."""
 
@@ -173,6 +191,7 @@
         self._listeners: list[Listener] = []
         self._ages: WeightsAges | None = None
         self._prompt_entries: PromptEntries | None = None
+        self._cache_scopes: CacheScopes | None = None
         # When the present call to the store was sent; None between calls.
         self._called_at: float | None = None
         # Whether the store should have answered that call by now.
@@ -279,6 +298,10 @@
         """Sets the quarantine entries to exchange with peers on each pull."""
         self._prompt_entries = entries
 
+    def set_cache_scopes(self, scopes: CacheScopes) -> None:
+        """Sets the customers kept apart to exchange with peers on each pull."""
+        self._cache_scopes = scopes
+
     def document(self, key: str) -> Document | None:
         """Returns the latest known state of a key; None if it is unknown."""
         return self._documents.get(key)
@@ -723,6 +746,10 @@
         if self._prompt_entries is not None:
             for notice in reply.quarantine:
                 self._prompt_entries.on_notice(notice)
+        if self._cache_scopes is not None:
+            self._cache_scopes.merge(
+                name, reply.configuration, reply.formerly_isolated
+            )
         if reply.revision >= self._revision and reply.HasField("age_ms"):
             current_at = self._now() - reply.age_ms / 1000
             self._confirmed_at = max(self._confirmed_at, current_at)
@@ -749,12 +776,17 @@
                 and self._documents[key].revision <= request.after_revision
             ]
         entries = self._prompt_entries
+        scopes = self._cache_scopes
         return peer_pb2.DocumentsReply(
             documents=documents,
             revision=self._revision,
             ages=[] if self._ages is None else self._ages.known_ages(),
             quarantine=[] if entries is None else entries.newest_notices(),
             age_ms=self._age_ms(),
+            configuration=0 if scopes is None else scopes.version,
+            formerly_isolated=(
+                [] if scopes is None else sorted(scopes.formerly_isolated)
+            ),
         )
 
     def _documents_after(self, revision: int) -> list[peer_pb2.Document]:
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -7,6 +7,7 @@
 
 import result
 
+from bergamotmill.dispatch import cache_scopes
 from bergamotmill.dispatch import config
 from bergamotmill.dispatch import const
 from bergamotmill.dispatch import documents
@@ -117,6 +118,7 @@
         self._limit_listeners: list[
             Callable[[str, int, float, bool], None]
         ] = []
+        self.cache_scopes = cache_scopes.CacheScopes()
         self.limits = stated_limit.StatedLimits()
         self.upstreams = upstreams.Upstreams(clock.monotonic)
         feed.add_listener(self._on_document)
@@ -378,6 +380,7 @@
             source=source,
         )
         self._catalog = catalog
+        self.cache_scopes.apply(catalog)
         for service in catalog.services.values():
             if service.engine is not None:
                 self.upstreams.set_memory_tokens(
--- a/bergamotmill/dispatch/planner.py
+++ b/bergamotmill/dispatch/planner.py
@@ -146,7 +146,8 @@
         return placement.Demand(
             prefixes={
                 version: placement.build_prefix(
-                    generation, build_cache_scope(call, version)
+                    generation,
+                    self._fleet.cache_scopes.name(call.customer, version),
                 )
                 for version in versions
                 if superseded_for_s[version]
@@ -175,12 +176,12 @@
         if call.generation is not None:
             model = call.generation.model
             weights_version = choice.best.upstream.weights.get(model, 0)
-            scope = build_cache_scope(call, weights_version)
+            scope = self._fleet.cache_scopes.name(
+                call.customer, weights_version
+            )
             urgency = engine_urgency(progress, choice)
             self._expect_cached(call, scope, choice)
-            progress.standby = self._pick_standby(
-                call, choice, weights_version, scope
-            )
+            progress.standby = self._pick_standby(call, choice, weights_version)
         return messages.Attempt(
             address=entry.address,
             upstream=entry.name,
@@ -199,7 +200,6 @@
         call: messages.Call,
         choice: placement.Choice,
         weights_version: int,
-        scope: str,
     ) -> standby.Standby | None:
         if not self._settings.keep_copies:
             return None
@@ -212,7 +212,7 @@
         upstream = standby.choose_standby(call, choice, weights_version)
         if upstream is None:
             return None
-        return standby.Standby(upstream, weights_version, scope)
+        return standby.Standby(upstream, weights_version)
 
     def plan_continuation(
         self, progress: call_progress.Progress, standby_copy: standby.Standby
@@ -224,7 +224,10 @@
             upstream=entry.name,
             time_left_s=self._time_left_s(progress.call),
             weights_version=standby_copy.weights_version,
-            cache_scope=standby_copy.cache_scope,
+            # The configuration may have changed since the run began.
+            cache_scope=self._fleet.cache_scopes.name(
+                progress.call.customer, standby_copy.weights_version
+            ),
             urgency=const.URGENCY_RETRY,
             resume_after_event_id=progress.last_event_id or _BEFORE_FIRST_EVENT,
             new_connection=True,
@@ -255,14 +258,6 @@
         )
 
 
-def build_cache_scope(call: messages.Call, weights_version: int) -> str:
-    """Returns the scope within which requests share KV cache."""
-    scope = f"w{weights_version}"
-    if call.customer is not None and call.customer.isolated:
-        scope += f".{call.customer.name}"
-    return scope
-
-
 def engine_urgency(
     progress: call_progress.Progress, choice: placement.Choice
 ) -> int:
--- a/bergamotmill/dispatch/records.py
+++ b/bergamotmill/dispatch/records.py
@@ -36,6 +36,7 @@
         old=round(best.old_weights_cost, 4),
         failing=round(best.failure_cost, 4),
         prefix=best.prefix,
+        scope=attempt.cache_scope,
         cached_tokens=best.cached_tokens,
         source=best.source,
         entry_age_s=round(now - best.upstream.seen_at, 2),
--- a/bergamotmill/dispatch/standby.py
+++ b/bergamotmill/dispatch/standby.py
@@ -26,12 +26,10 @@
 
     Attributes:
         weights_version: version of the weights that the run started on.
-        cache_scope: cache scope of the run.
     """
 
     upstream: upstreams.Upstream
     weights_version: int
-    cache_scope: str
 
 
 def choose_standby(
--- a/bergamotmill/platform/documents.py
+++ b/bergamotmill/platform/documents.py
@@ -212,6 +212,11 @@
         ],
         customers=_parse_customers(value.get("tenants")),
         limits=_parse_caller_limits(value.get("limits") or {}),
+        isolated_customers=[
+            tenant["name"]
+            for tenant in value.get("tenants") or ()
+            if tenant.get("isolated", False)
+        ],
     )
 
 
