HTTP: answers to the router's own calls count as memory and have limits

Cause: reports, orders, health checks and answers of the store were read up to 64 MB each, outside the memory budget, several at once, and stayed in the frames of the error that ended the call. An unfinished event of a stream was not counted, a caller's body was a list of its chunks, and a head that never ended had no time limit as a whole.

Change: whole bodies count in the budget and have limits that follow from what is expected; the store's have room of their own, with a limit together. What was read is dropped on failure. Unfinished events count, bodies are put together as they arrive, a head has one time limit.

--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -120,6 +120,7 @@
             self._memory, self.metrics, clock.monotonic
         )
         dialect.link.count_connections(self._connections)
+        dialect.count_store_connections(store, self._connections)
         factories = factories or Factories()
         self._peers = factories.make_peers(
             settings.fleet_key, self._peer_address
--- a/bergamotmill/dispatch/dialect.py
+++ b/bergamotmill/dispatch/dialect.py
@@ -45,6 +45,8 @@
         decoder: decodes documents of the store.
         link: sends attempts and orders to upstreams.
         change_store_address: points the store client at another address.
+        count_store_connections: counts what the connections of the store
+            client buffer.
         router_key: returns the store key of a router's registration.
         router_value: encodes a router's registration.
         lease_key: store key of the lease for orders.
@@ -61,6 +63,9 @@
     decoder: fleet_state.Decoder
     link: Link
     change_store_address: Callable[[key_value.RevisionedStore, str], None]
+    count_store_connections: Callable[
+        [key_value.RevisionedStore, connection_memory.ConnectionMemory], None
+    ]
     router_key: Callable[[str], str]
     router_value: Callable[[fleet_state.RouterEntry], bytes]
     lease_key: str
--- a/bergamotmill/dispatch/relay.py
+++ b/bergamotmill/dispatch/relay.py
@@ -13,6 +13,8 @@
 from bergamotmill.upstream import errors
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# An incomplete event of a stream counts as memory in use beyond this size.
+SMALL_EVENT_BYTES = 8 * 1024
 _EVENT_ID_FIELD = b"id:"
 
 
@@ -41,7 +43,7 @@
         taken_bytes: memory taken for it.
     """
 
-    chunks: list[bytes] = dataclasses.field(default_factory=list)
+    data: bytearray = dataclasses.field(default_factory=bytearray)
     size_bytes: int = 0
     taken_bytes: int = 0
 
@@ -163,9 +165,10 @@
                 )
             # What the caller does not take at once counts as a part of its
             # connection from now on.
-            sink.respond(head, b"".join(body.chunks))
-            body.chunks.clear()
+            sink.respond(head, bytes(body.data))
         finally:
+            # The frames of an error may keep it for some time.
+            body.data.clear()
             self._buffered_bytes -= body.size_bytes
             self._memory.give_back_response(body.taken_bytes)
 
@@ -187,7 +190,7 @@
                     f"no room for a body of {body.size_bytes} bytes or more",
                     True,
                 )
-            body.chunks.append(data)
+            body.data += data
             needed = memory_budget.COPIES * body.size_bytes
             if needed > body.taken_bytes:
                 await self._take(body, needed - body.taken_bytes)
@@ -224,9 +227,10 @@
             errors.UpstreamError: the stream is broken off.
         """
         pauses = _Pauses(sink, response, self._now)
+        event = _Body()
         try:
             await self._stream_events(
-                progress, sink, response, upstream, pauses
+                progress, sink, response, upstream, pauses, event
             )
         except errors.UpstreamError as err:
             if err.failure is errors.Failure.LOST and pauses.may_have_cut:
@@ -234,6 +238,8 @@
                     errors.Failure.UNREAD, str(err), True
                 ) from err
             raise
+        finally:
+            self._memory.give_back_response(event.taken_bytes)
 
     async def _stream_events(
         self,
@@ -242,13 +248,30 @@
         response: ports.UpstreamResponse,
         upstream: upstreams.Upstream,
         pauses: "_Pauses",
+        event: "_Body",
     ) -> None:
+        """Forwards the events of a stream.
+
+        Args:
+            progress: state of the call.
+            sink: writes to the caller.
+            response: the response being received.
+            upstream: the upstream that sends it.
+            pauses: pauses while the caller does not read.
+            event: memory taken for an incomplete event.
+
+        Raises:
+            errors.UpstreamError: the stream is broken off.
+        """
         splitter = sse.EventSplitter()
         resumed_after = progress.last_event_id if sink.started else ""
         while data := await response.read():
             upstream.note_bytes_received(self._now())
             progress.last_data_at = self._now()
             events = splitter.feed(data)
+            needed = memory_budget.COPIES * splitter.partial_bytes
+            if needed > SMALL_EVENT_BYTES + event.taken_bytes:
+                await self._take(event, needed - event.taken_bytes)
             if not events:
                 continue
             if progress.answer_began_at is None:
--- a/bergamotmill/helpers/connection_memory.py
+++ b/bergamotmill/helpers/connection_memory.py
@@ -9,11 +9,14 @@
 from typing import Protocol
 
 from bergamotmill.helpers import decisions
+from bergamotmill.helpers import http_errors
 from bergamotmill.helpers import memory_budget
 from bergamotmill.helpers import metrics as stats
 from bergamotmill.helpers import slow_readers
 
 CHECK_PERIOD_S = 0.5
+# Memory for a body that grows is taken in steps of this size.
+BODY_STEP_BYTES = 16 * 1024
 
 
 class Connection(Protocol):
@@ -100,6 +103,40 @@
         if held > before and memory.used_bytes > memory.limit_bytes:
             self._relieve_soon()
 
+    def take_for_body(self, size: int, taken: int, is_essential: bool) -> int:
+        """Takes memory for a body that is read as a whole.
+
+        Args:
+            size: size of what has been received, in bytes.
+            taken: memory that it has taken before, in bytes.
+            is_essential: whether it does not wait for other bodies.
+
+        Returns:
+            The memory taken now, in bytes.
+
+        Raises:
+            http_errors.NoMemoryError: there is none.
+        """
+        needed = memory_budget.COPIES * size - taken
+        if needed <= 0:
+            return 0
+        cost = max(needed, BODY_STEP_BYTES)
+        small = taken + cost <= memory_budget.SMALL_COST_BYTES
+        if is_essential:
+            has_room = self._memory.take_for_essential(cost, small)
+        else:
+            has_room = self._memory.take_for_response(cost, small)
+        if not has_room:
+            raise http_errors.NoMemoryError(f"no memory for {cost} bytes")
+        return cost
+
+    def give_back(self, taken: int, is_essential: bool) -> None:
+        """Returns the memory of a body."""
+        if is_essential:
+            self._memory.give_back_essential(taken)
+        else:
+            self._memory.give_back_response(taken)
+
     def _relieve_soon(self) -> None:
         # Not at once: this runs within the write of a connection.
         if not self._relief_due:
--- a/bergamotmill/helpers/hedged_fetch.py
+++ b/bergamotmill/helpers/hedged_fetch.py
@@ -17,6 +17,7 @@
     timeout_s: float,
     hedge_after_s: float,
     hedge_period_s: float,
+    max_body_bytes: int = http_client.MAX_BODY_BYTES,
 ) -> tuple[http_client.ResponseHead, bytes]:
     """Sends a request without a body and returns the first response.
 
@@ -29,6 +30,7 @@
         timeout_s: time limit of the whole call.
         hedge_after_s: time without a response after which the call is repeated.
         hedge_period_s: time between further repetitions.
+        max_body_bytes: maximum size of the body of a response.
 
     Raises:
         http_errors.HttpError: All attempts failed.
@@ -38,7 +40,12 @@
     def start_attempt() -> asyncio.Task:
         return asyncio.create_task(
             http_client.fetch(
-                pool, address, method, target, timeout_s=timeout_s
+                pool,
+                address,
+                method,
+                target,
+                timeout_s=timeout_s,
+                max_body_bytes=max_body_bytes,
             )
         )
 
--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -17,6 +17,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_HEAD_BYTES = 64 * 1024
+# A body that is read as a whole, unless its reader expects larger ones.
+MAX_BODY_BYTES = 1024 * 1024
 # Interim responses (status 1xx) to one request at most.
 MAX_INTERIM_RESPONSES = 8
 # Bytes that may wait for the reader. One read from a socket may exceed this.
@@ -74,8 +76,10 @@
         address: str,
         connections: connection_memory.ConnectionMemory | None = None,
         pace: piece_pacing.SharedPace | None = None,
+        is_essential: bool = False,
     ):
         self.address = address
+        self._is_essential = is_essential
         self._meter = piece_pacing.PieceMeter(pace or piece_pacing.SharedPace())
         # Set while what has been received waits to be parsed, and how much.
         self._parse_timer: asyncio.Handle | None = None
@@ -557,19 +561,31 @@
     async def read_all(self, max_bytes: int) -> bytes:
         """Returns the whole body.
 
+        It counts in the memory budget until it is returned.
+
         Raises:
             http_errors.BodyTooLargeError: The body exceeds `max_bytes`.
+            http_errors.NoMemoryError: There is no memory for it.
         """
-        parts = []
-        size = 0
-        while data := await self.read():
-            size += len(data)
-            if size > max_bytes:
-                raise http_errors.BodyTooLargeError(
-                    f"body exceeds {max_bytes} bytes"
-                )
-            parts.append(data)
-        return b"".join(parts)
+        body = bytearray()
+        taken = 0
+        try:
+            while data := await self.read():
+                body += data
+                if len(body) > max_bytes:
+                    raise http_errors.BodyTooLargeError(
+                        f"body exceeds {max_bytes} bytes"
+                    )
+                if self._connection_memory is not None:
+                    taken += self._connection_memory.take_for_body(
+                        len(body), taken, self._is_essential
+                    )
+            return bytes(body)
+        finally:
+            # The frames of an error may keep it for some time.
+            body.clear()
+            if taken:
+                self._connection_memory.give_back(taken, self._is_essential)
 
     async def _wait_for_data(self) -> None:
         self._data_waiter = self._loop.create_future()
@@ -616,6 +632,8 @@
             )
         # The frames that it refers to hold the request's body.
         self._error.__traceback__ = None
+        self._chunks.clear()
+        self._buffered_bytes = 0
         self._wake_reader()
         if self._transport is not None:
             self._transport.abort()
@@ -640,7 +658,17 @@
         self,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         idle_lifetime_s: float = IDLE_LIFETIME_S,
+        is_essential: bool = False,
     ):
+        """Makes an empty pool.
+
+        Args:
+            connect_timeout_s: time limit for opening a connection.
+            idle_lifetime_s: time for which an idle connection is kept.
+            is_essential: whether bodies that are read as a whole have
+                memory of their own.
+        """
+        self._is_essential = is_essential
         self._connect_timeout_s = connect_timeout_s
         self._idle_lifetime_s = idle_lifetime_s
         self._idle: dict[str, list[ClientConnection]] = {}
@@ -702,6 +730,7 @@
                         address,
                         self._connection_memory,
                         self._pace,
+                        self._is_essential,
                     ),
                     host,
                     int(port),
@@ -775,7 +804,7 @@
     headers: Headers = (),
     body: bytes = b"",
     timeout_s: float = 5.0,
-    max_body_bytes: int = 64 * 1024 * 1024,
+    max_body_bytes: int = MAX_BODY_BYTES,
     fresh: bool = False,
     host: str = "",
 ) -> tuple[ResponseHead, bytes]:
--- a/bergamotmill/helpers/http_errors.py
+++ b/bergamotmill/helpers/http_errors.py
@@ -27,3 +27,7 @@
 
 class BodyTooLargeError(HttpError):
     """A body exceeds the size limit."""
+
+
+class NoMemoryError(HttpError):
+    """There is no memory for a body."""
--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -40,7 +40,7 @@
     Attributes:
         head_bytes: maximum size of the request line and headers.
         body_bytes: maximum size of a body.
-        head_timeout_s: time to wait for more data of an incomplete head.
+        head_timeout_s: time to receive a whole head.
         body_timeout_s: time to receive a whole body.
         idle_timeout_s: time to wait for a request on an open connection.
     """
@@ -533,8 +533,7 @@
         await self._take_memory(min(declared_bytes, limits.body_bytes))
         if self._h11.they_are_waiting_for_100_continue:
             self.send(h11.InformationalResponse(status_code=100, headers=[]))
-        parts: list[bytes] = []
-        received_bytes = 0
+        body = bytearray()
         self._meter.restart()
         async with asyncio.timeout(limits.body_timeout_s):
             while True:
@@ -542,14 +541,13 @@
                 if event is None:
                     return None
                 if type(event) is h11.EndOfMessage:
-                    return b"".join(parts)
-                received_bytes += len(event.data)
-                if received_bytes > limits.body_bytes:
+                    return bytes(body)
+                body += event.data
+                if len(body) > limits.body_bytes:
                     raise h11.RemoteProtocolError(
                         "the body is too large", error_status_hint=413
                     )
-                await self._take_memory(received_bytes)
-                parts.append(bytes(event.data))
+                await self._take_memory(len(body))
 
     async def _discard_body(self) -> None:
         """Reads the rest of a body that was refused.
@@ -569,6 +567,7 @@
         limits = self._server.limits
         async with asyncio.timeout(limits.idle_timeout_s) as timeout:
             loop = asyncio.get_running_loop()
+            has_begun = False
             while True:
                 event = self._h11.next_event()
                 if type(event) is h11.Request:
@@ -581,7 +580,9 @@
                 self._data_received.clear()
                 self._resume_reading()
                 await self._data_received.wait()
-                timeout.reschedule(loop.time() + limits.head_timeout_s)
+                if not has_begun:
+                    has_begun = True
+                    timeout.reschedule(loop.time() + limits.head_timeout_s)
 
     async def _next_event(self):
         while True:
--- a/bergamotmill/helpers/memory_budget.py
+++ b/bergamotmill/helpers/memory_budget.py
@@ -30,6 +30,9 @@
 # What small requests and responses may use beyond the budget, relative to it.
 # It comes out of what USABLE_FRACTION leaves.
 SMALL_RESERVE_FRACTION = 0.05
+# What essential bodies may use together, relative to the budget, and at least.
+ESSENTIAL_FRACTION = 0.25
+ESSENTIAL_MIN_BYTES = 12 * MIB
 # A body is held twice while it is put together, or sent on.
 COPIES = 2
 # What a request needs besides its body.
@@ -75,6 +78,7 @@
         self._used = 0
         self._requests_used = 0
         self._connections_used = 0
+        self._essential_used = 0
         self._refusals = 0
         self._waiters: collections.deque[_Waiter] = collections.deque()
         self._response_waiters: collections.deque[_Waiter] = collections.deque()
@@ -176,6 +180,30 @@
         self._used += cost
         return True
 
+    def take_for_essential(self, cost: int, small: bool) -> bool:
+        """Takes memory for a body that the process cannot do without.
+
+        Other bodies do not delay it, but all of these together have a limit.
+
+        Args:
+            cost: memory to take.
+            small: whether the whole body is small, so that it has no limit.
+
+        Returns:
+            Whether it has been taken.
+        """
+        limit = max(ESSENTIAL_MIN_BYTES, self._limit * ESSENTIAL_FRACTION)
+        if not small and self._essential_used + cost > limit:
+            return False
+        self._essential_used += cost
+        self._used += cost
+        return True
+
+    def give_back_essential(self, cost: int) -> None:
+        """Returns memory that was taken for an essential body."""
+        self._essential_used -= cost
+        self.give_back_response(cost)
+
     async def wait_for_response(self, cost: int, max_wait_s: float) -> bool:
         """Takes memory for a response that had none, waiting for room.
 
--- a/bergamotmill/platform/const.py
+++ b/bergamotmill/platform/const.py
@@ -102,3 +102,10 @@
 # A read or renewal without a response is repeated after this time. It is above
 # the response time of a slow store, which repetitions would slow down further.
 HEDGE_PERIOD_S = 0.4
+# A page of the store holds about 1 MB of values, in base64. Changes that exceed
+# this are read as a snapshot, in pages.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+# Status reports name each request of an engine; of answers to orders and health
+# checks, only the head matters.
+MAX_REPORT_BYTES = 256 * 1024
+MAX_REPLY_BYTES = 64 * 1024
--- a/bergamotmill/platform/dialect.py
+++ b/bergamotmill/platform/dialect.py
@@ -21,6 +21,9 @@
         change_store_address=lambda client, address: client.set_address(
             address
         ),
+        count_store_connections=lambda client, connections: (
+            client.count_connections(connections)
+        ),
         router_key=lambda name: const.PREFIX_ROUTERS + name,
         router_value=documents.router_value,
         lease_key=const.KEY_ORDER_LEASE,
--- a/bergamotmill/platform/replica.py
+++ b/bergamotmill/platform/replica.py
@@ -170,6 +170,7 @@
                     )
                 ],
                 timeout_s=dispatch_const.ORDER_TIMEOUT_S,
+                max_body_bytes=const.MAX_REPORT_BYTES,
             )
         except _CALL_ERRORS as err:
             decisions.record(
@@ -196,6 +197,7 @@
                     )
                 ],
                 timeout_s=dispatch_const.ORDER_TIMEOUT_S,
+                max_body_bytes=const.MAX_REPORT_BYTES,
             )
             signals = _parse_signals(head)
             if head.status != 200:
@@ -232,6 +234,7 @@
                 headers=headers,
                 body=json.dumps(body).encode(),
                 timeout_s=dispatch_const.ORDER_TIMEOUT_S,
+                max_body_bytes=const.MAX_REPLY_BYTES,
                 fresh=True,
             )
         except _CALL_ERRORS:
--- a/bergamotmill/platform/store.py
+++ b/bergamotmill/platform/store.py
@@ -19,6 +19,7 @@
 
 import result
 
+from bergamotmill.helpers import connection_memory
 from bergamotmill.helpers import decisions
 from bergamotmill.helpers import hedged_fetch
 from bergamotmill.helpers import http_client
@@ -117,13 +118,19 @@
 
     def __init__(self, address: str):
         self._address = address
-        self._pool = http_client.Pool()
+        self._pool = http_client.Pool(is_essential=True)
         # Highest era seen in an answer.
         self._era = 0
         # Leases by the ids that this client gives out, which are never reused.
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 1
 
+    def count_connections(
+        self, connections: connection_memory.ConnectionMemory
+    ) -> None:
+        """Counts what connections opened from now on buffer."""
+        self._pool.count_connections(connections)
+
     async def start(self) -> None:
         """Does nothing; connections are opened when needed."""
 
@@ -193,6 +200,7 @@
                 headers=_JSON_HEADERS if body else (),
                 body=body,
                 timeout_s=const.CALL_TIMEOUT_S,
+                max_body_bytes=const.MAX_ANSWER_BYTES,
             )
         return await hedged_fetch.fetch(
             self._pool,
@@ -202,6 +210,7 @@
             max(const.CALL_TIMEOUT_S, wait_s + const.WATCH_TIMEOUT_MARGIN_S),
             wait_s + const.HEDGE_PERIOD_S,
             const.HEDGE_PERIOD_S,
+            const.MAX_ANSWER_BYTES,
         )
 
     def _note_era(self, text: str) -> int:
--- a/bergamotmill/standin/platform/replica.py
+++ b/bergamotmill/standin/platform/replica.py
@@ -57,8 +57,9 @@
 class Faults:
     """Faults that a test can switch on.
 
-    Only `mute`, `cut_after`, `order_delay_s`, `crash_parts`, `crash_mark` and
-    `unframed` affect engines; the last two affect plain services, too.
+    Only `mute`, `cut_after`, `order_delay_s`, `endless`, `endless_control`,
+    `crash_parts`, `crash_mark` and `unframed` affect engines; `endless` and the
+    last two affect plain services, too.
 
     Attributes:
         lose_answers: whether requests run but their connection is cut.
@@ -79,6 +80,7 @@
             second that the replica takes; empty for none.
         endless: part of an answer that never ends, until the caller
             disconnects: a key of `ENDLESS_PARTS`; empty for none.
+        endless_control: whether answers to reports and orders never end.
         crash_parts: parts of prompts on which an engine crashes when it begins
             to write the answer, unless it is the last part.
         crash_mark: a request whose body contains it crashes the replica; empty
@@ -118,6 +120,7 @@
     says_leaving: bool = False
     limit: str = ""
     endless: str = ""
+    endless_control: bool = False
     crash_parts: frozenset[str] = frozenset()
     crash_mark: bytes = b""
     crash_after_s: float = 0.04
@@ -316,7 +319,12 @@
         if expected != self.name:
             exchange.respond(421, b"", self._identity_headers(exchange))
             return
-        if request.path == const.PATH_REPORT:
+        if self.faults.endless_control and request.path in (
+            const.PATH_REPORT,
+            const.PATH_ORDER,
+        ):
+            await self._write_endlessly(exchange, "chunks")
+        elif request.path == const.PATH_REPORT:
             self._send_report(exchange)
         elif request.path == const.PATH_ORDER:
             await self._handle_order(exchange)
@@ -429,7 +437,7 @@
             await self._stay_silent(exchange)
         if self.faults.endless:
             run.outcome = "endless"
-            await self._write_endlessly(exchange, run)
+            await self._write_endlessly(exchange, self.faults.endless)
             return
         if self.faults.lose_answers:
             run.outcome = "lost"
@@ -492,9 +500,11 @@
         else:
             exchange.close()
 
-    async def _write_endlessly(self, exchange, run: Run) -> None:
-        start, filler = ENDLESS_PARTS[self.faults.endless]
-        data = start.replace(b"ID", run.request_id.encode()) + filler
+    async def _write_endlessly(self, exchange, part: str) -> None:
+        start, filler = ENDLESS_PARTS[part]
+        name = const.HEADER_REQUEST_ID
+        request_id = exchange.request.headers.get(name, "")
+        data = start.replace(b"ID", request_id.encode()) + filler
         while not exchange.disconnected:
             exchange.write_raw(data)
             data = filler
@@ -562,6 +572,10 @@
         if not crash_after:
             self._crash(run)
             return
+        if self.faults.endless:
+            run.outcome = "endless"
+            await self._write_endlessly(exchange, self.faults.endless)
+            return
         self._start(exchange, run)
         if self.faults.end_after_head:
             run.outcome = "cut"
--- a/bergamotmill/storage/gateway/const.py
+++ b/bergamotmill/storage/gateway/const.py
@@ -13,3 +13,5 @@
 # The service writes a progress line on a watch at least this often; a watch
 # that is silent for longer is considered broken.
 WATCH_READ_TIMEOUT_S = 15.0
+# All entries under a prefix, or all changes in one line of a watch.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
--- a/bergamotmill/storage/gateway/coordinator.py
+++ b/bergamotmill/storage/gateway/coordinator.py
@@ -65,6 +65,7 @@
                 path,
                 body=json.dumps(body).encode(),
                 timeout_s=const.CALL_TIMEOUT_S,
+                max_body_bytes=const.MAX_ANSWER_BYTES,
             )
             if head.status != 200:
                 raise ValueError(f"status {head.status}")
@@ -165,9 +166,15 @@
                 body=json.dumps(body).encode(),
                 read_timeout_s=const.WATCH_READ_TIMEOUT_S,
             )
-            partial_line = b""
+            partial_line = bytearray()
             while data := await conn.read():
-                *lines, partial_line = (partial_line + data).split(b"\n")
+                partial_line += data
+                if b"\n" not in data:
+                    if len(partial_line) > const.MAX_ANSWER_BYTES:
+                        return
+                    continue
+                *lines, last = bytes(partial_line).split(b"\n")
+                partial_line = bytearray(last)
                 for line in lines:
                     events = (
                         _parse_events(json_text.loads(line)) if line else []
--- a/bergamotmill/storage/vm_list/coordinator.py
+++ b/bergamotmill/storage/vm_list/coordinator.py
@@ -30,6 +30,7 @@
                 "GET",
                 const.PATH,
                 timeout_s=const.CALL_TIMEOUT_S,
+                max_body_bytes=const.MAX_LIST_BYTES,
             )
             if head.status != 200:
                 return result.Err(f"status {head.status}")
--- a/tests/helpers/test_http.py
+++ b/tests/helpers/test_http.py
@@ -90,6 +90,28 @@
 
         self.run_server(scenario)
 
+    # A caller that sent a byte now and then kept its connection for ever.
+    def test_head_that_never_ends_is_given_up(self):
+        async def scenario():
+            loop = asyncio.get_running_loop()
+            reader = asyncio.StreamReader()
+            protocol = asyncio.StreamReaderProtocol(reader)
+            transport, _ = await loop.create_connection(
+                lambda: protocol, "10.0.0.1", 80
+            )
+            transport.write(b"GET / HTTP/1.1\r\nx: ")
+            began_at = loop.time()
+            status_line = asyncio.create_task(reader.readline())
+            while not status_line.done() and loop.time() - began_at < 60.0:
+                transport.write(b"y")
+                await asyncio.sleep(1.0)
+            self.assertIn(b" 408 ", await status_line)
+            self.assertLess(
+                loop.time() - began_at, http_server.HEAD_TIMEOUT_S + 2.0
+            )
+
+        self.run_server(scenario)
+
     def test_caller_that_leaves_after_a_large_upload_is_noticed(self):
         left = asyncio.Event()
 
