Quarantine: a request that ends its replica late is held back

Cause: the router gave each attempt up, as it was silent for 0.8 s or its deadline passed, and closed its connection before the replica ended. Nothing led from the end to the request.

Change: attempts that were given up are remembered for 6 s. If their upstream is found to have ended, by a lost or refused connection, a peer's report, a later incarnation or the removal of its entry, the requests are evidence, as a whole; without an answer three such ends are needed instead of two.

--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -47,6 +47,7 @@
 
 SendMessage = Callable[[str, peer_pb2.NotifyRequest], None]
 Listener = Callable[[prompt_quarantine.Entry], None]
+EndListener = Callable[[prompt_quarantine.Crash], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +115,7 @@
         self._rng = rng
         self._state = prompt_quarantine.PromptQuarantine()
         self._listeners: list[Listener] = []
+        self._end_listeners: list[EndListener] = []
         # Keys of entries that this router has to write or to remove.
         self._to_write: set[str] = set()
         self._to_remove: set[str] = set()
@@ -140,6 +142,10 @@
         """
         self._listeners.append(listener)
 
+    def add_end_listener(self, listener: EndListener) -> None:
+        """Calls the listener with each end of a replica that a peer reports."""
+        self._end_listeners.append(listener)
+
     def holding(
         self, prompt: prompt_quarantine.Prompt, trial_of: str = ""
     ) -> list[prompt_quarantine.Entry]:
@@ -246,23 +252,33 @@
             prompt = prompt.whole_only()
         if not await lost.has_ended():
             return False
-        await self._note_crash(prompt, lost.crash)
+        await self.note_crash(prompt, lost.crash)
         return True
 
-    async def _note_crash(
+    async def note_crash(
         self,
         prompt: prompt_quarantine.Prompt,
         crash: prompt_quarantine.Crash,
+        abandoned: bool = False,
     ) -> None:
-        """Records that a replica ended under a prompt."""
+        """Records that a replica ended under a prompt.
+
+        If the prompt is suspect, returns when what peers know of it has been
+        considered.
+
+        Args:
+            prompt: the prompt.
+            crash: the replica.
+            abandoned: whether the attempt had been given up before.
+        """
         blocking = self._state.blocking(prompt)
         if blocking:
             for entry in blocking:
                 self._put_in_force(self._state.add_crash(entry, crash))
             return
         now = self._clock.monotonic()
-        self._state.record_crash(prompt, crash, now)
-        self._report(prompt, crash)
+        self._state.record_crash(prompt, crash, now, abandoned)
+        self._report(prompt, crash, abandoned)
         judgement = self._tasks.spawn(self._judge_later(prompt))
         if self._state.judge(prompt, now, self._clock.wall()) is not None:
             await asyncio.wait({judgement})
@@ -280,6 +296,7 @@
         self,
         prompt: prompt_quarantine.Prompt,
         crash: prompt_quarantine.Crash,
+        abandoned: bool,
     ) -> None:
         """Reports a crash to all routers, each part of it once."""
         reported = self._reported.setdefault((crash, prompt.model), set())
@@ -292,7 +309,7 @@
         while len(self._reported) > prompt_quarantine.MAX_CLEARED:
             del self._reported[next(iter(self._reported))]
         for report in codec.encode_crash_report(
-            self._links.own_name, prompt.model, crash, answers
+            self._links.own_name, prompt.model, crash, answers, abandoned
         ):
             self._broadcast(peer_pb2.NotifyRequest(crashes=[report]))
 
@@ -302,8 +319,11 @@
         prompt = prompt_quarantine.prompt_with_names(
             message.model, message.parts
         )
-        self._state.record_crash(prompt, codec.decode_crash(message.crash), now)
+        crash = codec.decode_crash(message.crash)
+        self._state.record_crash(prompt, crash, now, message.abandoned)
         self._merge_answers(message)
+        for listener in self._end_listeners:
+            listener(crash)
         answers = {
             name: found
             for name in sorted(prompt.names)
--- a/bergamotmill/control/quarantine_messages.py
+++ b/bergamotmill/control/quarantine_messages.py
@@ -27,6 +27,7 @@
     model: str,
     crash: prompt_quarantine.Crash,
     answers: Mapping[str, prompt_quarantine.Answers],
+    abandoned: bool = False,
 ) -> list[peer_pb2.CrashReport]:
     """Returns messages that report a crash under some parts.
 
@@ -35,6 +36,7 @@
         model: model of the prompts.
         crash: the replica that ended.
         answers: the parts, with the answers that this router has seen on them.
+        abandoned: whether the attempts had been given up before.
     """
     items = sorted(answers.items())
     batches = [
@@ -48,6 +50,7 @@
             model=model,
             parts=[name for name, _ in batch],
             answers=[_encode_count(item) for _, item in batch],
+            abandoned=abandoned,
         )
         for batch in batches
     ]
--- a/bergamotmill/dispatch/dispatcher.py
+++ b/bergamotmill/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 import random
 
 from bergamotmill.control import quarantine
+from bergamotmill.dispatch import abandoned_attempts
 from bergamotmill.dispatch import allowances as upstream_allowances
 from bergamotmill.dispatch import attempt_runner
 from bergamotmill.dispatch import call_decisions
@@ -149,6 +150,9 @@
         self._prompts = prompts
         self._allowances = allowances
         prompts.add_listener(self._withdraw_attempts)
+        self._abandoned = abandoned_attempts.AbandonedAttempts(process.now)
+        prompts.add_end_listener(self._note_end)
+        fleet.add_removal_listener(self._note_removal)
         # The calls whose present attempt has no response yet, by request id.
         self._unanswered: dict[str, call_progress.Progress] = {}
         self._open: dict[call_progress.Progress, _OpenCall] = {}
@@ -325,6 +329,8 @@
                 )
                 if err.failure is errors.Failure.LOST:
                     await self._note_loss(progress, choice.best.upstream)
+                elif err.failure is errors.Failure.CONNECT:
+                    self._check_end(choice.best.upstream.entry)
                 if err.ran:
                     progress.trial_of = ""
                 if may_repeat:
@@ -461,6 +467,14 @@
                 self._planner.workload(choice),
                 _ChoiceObserver(self._placer, progress, choice),
             )
+        except asyncio.CancelledError:
+            # The deadline has passed, or the caller has left.
+            self._note_abandoned(progress, upstream)
+            raise
+        except errors.UpstreamError as err:
+            if err.failure is errors.Failure.SILENT:
+                self._note_abandoned(progress, upstream)
+            raise
         finally:
             self._unanswered.pop(call.request_id, None)
         self._note_answer(progress, status)
@@ -617,6 +631,7 @@
         )
         if not ended:
             return
+        self._note_end(prompt_quarantine.Crash(entry.name, entry.born))
         self._metrics.count("upstream.ended")
         decisions.record(
             "upstream_ended",
@@ -627,6 +642,53 @@
             parts=sorted(progress.prompt.parts),
         )
 
+    def _note_abandoned(
+        self, progress: call_progress.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Remembers an attempt that is given up, in case its upstream ends."""
+        if self._fleet.upstreams.accepts_work(upstream):
+            entry = upstream.entry
+            self._abandoned.add(
+                prompt_quarantine.Crash(entry.name, entry.born), progress.prompt
+            )
+
+    def _note_end(self, incarnation: prompt_quarantine.Crash) -> None:
+        """Reports the attempts that were given up at an upstream that ended."""
+        for prompt in self._abandoned.take(incarnation):
+            decisions.record(
+                "abandoned_upstream_ended",
+                upstream=incarnation.replica,
+                born=incarnation.incarnation,
+                fingerprints=sorted(prompt.fingerprints),
+            )
+            self._tasks.spawn(
+                self._prompts.note_crash(prompt, incarnation, abandoned=True)
+            )
+
+    def _note_removal(self, entry: upstreams.UpstreamEntry) -> None:
+        """Finds out whether an upstream whose entry is gone has ended."""
+        known = self._fleet.upstreams
+        if entry.state is upstreams.UpstreamState.READY and (
+            not known.is_leaving(entry.name, entry.born)
+        ):
+            self._check_end(entry)
+
+    def _check_end(self, entry: upstreams.UpstreamEntry) -> None:
+        """Finds out whether an upstream has ended, if that is evidence."""
+        incarnation = prompt_quarantine.Crash(entry.name, entry.born)
+        if self._abandoned.has(incarnation):
+            self._tasks.spawn(self._report_if_ended(entry, incarnation))
+
+    async def _report_if_ended(
+        self,
+        entry: upstreams.UpstreamEntry,
+        incarnation: prompt_quarantine.Crash,
+    ) -> None:
+        known = self._fleet.upstreams.by_name.get(entry.name)
+        is_replaced = known is not None and known.entry.born > entry.born
+        if is_replaced or await self._link.has_ended(entry.address):
+            self._note_end(incarnation)
+
     def _record_failure(
         self,
         progress: call_progress.Progress,
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -115,6 +115,9 @@
         self._routers_listeners: list[Callable[[], None]] = []
         self._weights_listeners: list[Callable[[], None]] = []
         self._leaving_listeners: list[Callable[[str, int], None]] = []
+        self._removal_listeners: list[
+            Callable[[upstreams.UpstreamEntry], None]
+        ] = []
         self._limit_listeners: list[
             Callable[[str, int, float, bool], None]
         ] = []
@@ -224,6 +227,15 @@
         """
         self._leaving_listeners.append(listener)
 
+    def add_removal_listener(
+        self, listener: Callable[[upstreams.UpstreamEntry], None]
+    ) -> None:
+        """Calls the listener with the last entries of upstreams that are gone.
+
+        Their entry was removed, or a later incarnation has taken its place.
+        """
+        self._removal_listeners.append(listener)
+
     def add_limit_listener(
         self, listener: Callable[[str, int, float, bool], None]
     ) -> None:
@@ -443,6 +455,8 @@
                 source=source,
             )
             return
+        if before is not None and before.born != entry.born:
+            self._notify_removal(before)
         if before is None or _logged_state(before) != _logged_state(entry):
             decisions.record(
                 "upstream",
@@ -490,6 +504,11 @@
             entry = known.entry
             self._remove_upstream(name, reason, source)
             self.upstreams.note_removed(name, entry.born, entry.sequence)
+            self._notify_removal(entry)
+
+    def _notify_removal(self, entry: upstreams.UpstreamEntry) -> None:
+        for listener in self._removal_listeners:
+            listener(entry)
 
     def known_removals(self) -> list[peer_pb2.RemovedUpstream]:
         """Returns the upstreams whose entries were removed lately."""
--- a/bergamotmill/routing/prompt_quarantine.py
+++ b/bergamotmill/routing/prompt_quarantine.py
@@ -29,6 +29,9 @@
 MIN_CRASHES_UNANSWERED = 2
 MIN_CRASHES_NOT_LATELY = 3
 MIN_CRASHES_ANSWERED = 4
+# The same for a request that was never answered if it had been given up before
+# some of the crashes: they may have another cause.
+MIN_CRASHES_ABANDONED = 3
 # A customer with this many entries crashes replicas with ever new parts or
 # requests; one crash is enough for those of them that were never answered.
 # Contested entries do not count against requests.
@@ -275,15 +278,31 @@
         )
         # Answers since the first of the crashes.
         self._answers_since: dict[Part, int] = {}
+        # Crashes before which all attempts with the part had been given up.
+        self._abandoned: dict[Part, set[Crash]] = {}
 
-    def record(self, part: Part, crash: Crash, now: float) -> None:
+    def record(
+        self, part: Part, crash: Crash, now: float, abandoned: bool
+    ) -> None:
         """Records that a replica ended under an attempt with a part."""
         times = self._times.setdefault(part, {})
+        if not abandoned:
+            self._abandoned.get(part, set()).discard(crash)
+        elif crash not in times:
+            self._abandoned.setdefault(part, set()).add(crash)
         times.setdefault(crash, now)
         self._times.move_to_end(part)
         if len(self._times) > MAX_PARTS_WITH_CRASHES:
             dropped, _ = self._times.popitem(last=False)
-            self._answers_since.pop(dropped, None)
+            self._forget(dropped)
+
+    def _forget(self, part: Part) -> None:
+        self._answers_since.pop(part, None)
+        self._abandoned.pop(part, None)
+
+    def has_abandoned(self, part: Part, crashes: Iterable[Crash]) -> bool:
+        """Whether attempts had been given up before some of the crashes."""
+        return not self._abandoned.get(part, set()).isdisjoint(crashes)
 
     def record_answer(self, part: Part) -> None:
         """Counts an answer on a part that has crashes."""
@@ -327,7 +346,7 @@
             if now - max(times.values()) <= EVIDENCE_WINDOW_S:
                 return
             del self._times[part]
-            self._answers_since.pop(part, None)
+            self._forget(part)
 
 
 class PromptQuarantine:
@@ -386,11 +405,24 @@
             clearances.append(Clearance(entry, successor))
         return clearances
 
-    def record_crash(self, prompt: Prompt, crash: Crash, now: float) -> None:
-        """Records that a replica ended under an attempt."""
+    def record_crash(
+        self,
+        prompt: Prompt,
+        crash: Crash,
+        now: float,
+        abandoned: bool = False,
+    ) -> None:
+        """Records that a replica ended under an attempt.
+
+        Args:
+            prompt: what of the request may have crashed it.
+            crash: the replica.
+            now: the monotonic clock.
+            abandoned: whether the attempt had been given up before.
+        """
         self._crashes.expire(now)
         for name in prompt.names:
-            self._crashes.record((prompt.model, name), crash, now)
+            self._crashes.record((prompt.model, name), crash, now, abandoned)
         if len(self._peer_answers) > MAX_PARTS_WITH_CRASHES:
             with_crashes = set(self._crashes.parts())
             for part in self._peer_answers.keys() - with_crashes:
@@ -497,6 +529,8 @@
             entry_count = self._entry_count(prompt.customer, is_whole)
             if entry_count >= MAX_ENTRIES_PER_CUSTOMER:
                 min_unanswered = 1
+            if self._crashes.has_abandoned(part, crashes):
+                min_unanswered = MIN_CRASHES_ABANDONED
             answers = self._fleet_answers(part, now)
             count = len(crashes)
             if answers.ever:
--- a/tests/dispatch/test_crashing_requests.py
+++ b/tests/dispatch/test_crashing_requests.py
@@ -32,12 +32,14 @@
         routes: routes of the sound requests.
         crashing_route: route of the requests that crash replicas.
         crashing_count: number of different requests that do.
+        crashing_per_s: how often each of them is sent.
     """
 
     routes = ("lookup", "filing")
     crashing_route = "lookup"
     crashing_count = 1
     keys = ("key-one", "key-two")
+    crashing_per_s = CRASHING_PER_S
 
     def set_crashing(self, mark=CRASH_MARK, **faults):
         for standin in [*self.fleet.replicas.values(), *self.fleet.crashed]:
@@ -135,7 +137,7 @@
         )
         answers = await self.play(
             PLAY_S,
-            CRASHING_PER_S * self.crashing_count,
+            self.crashing_per_s * self.crashing_count,
             self.send_crashing,
             rng,
         )
@@ -175,6 +177,15 @@
         self.routes = PROMPT_ROUTES
         self.run_day(crash_after_events=20)
 
+    # BUDGET, issue 35: a router had given each attempt up before its replica
+    # ended, as it was silent or the deadline passed, so that nothing led from
+    # the ends to the request.
+    def test_request_that_ends_its_replica_late_is_held_back(self):
+        self.crashing_per_s = 1.0
+        for seed, after_s in ((41077, 0.9), (2, 0.9), (3, 1.4)):
+            with self.subTest(seed=seed, after_s=after_s):
+                self.run_day(seed=seed, crash_after_s=after_s)
+
     def test_request_is_held_back_while_the_store_is_silent(self):
         async def silence_store():
             self.fleet.store.mode = store.Mode.SILENT
@@ -410,6 +421,36 @@
 
 
 class OtherEndsTest(CrashingRequestLoad):
+    # Attempts that are given up are evidence only if replicas end, and answers
+    # speak for their requests as before.
+    def test_replicas_that_fall_silent_and_end_hold_nothing_back(self):
+        async def send_popular(results, rng):
+            answer = await self.send("lookup", b"popular", rng)
+            results.append((self.now(), answer))
+
+        async def end_in_series(rng):
+            for _ in range(10):
+                await asyncio.sleep(1.0)
+                names = [n for n in sorted(self.fleet.replicas) if n[0] == "s"]
+                standin = self.fleet.replicas[rng.choice(names)]
+                standin.faults.mute = True
+                await asyncio.sleep(1.0)
+                standin.faults.mute = False
+                self.fleet.crash_for_a_time(standin)
+
+        async def scenario():
+            rng = random.Random(9)
+            ends = asyncio.create_task(end_in_series(rng))
+            sound, popular = await asyncio.gather(
+                self.play(24.0, SOUND_PER_S, self.send_sound, rng),
+                self.play(24.0, 8.0, send_popular, rng),
+            )
+            await ends
+            held = [a for _, a in sound + popular if b"quarantined" in a.body]
+            self.assertEqual(held, [])
+
+        self.run_fleet(scenario, routers=7, engines=2, services=8)
+
     def test_replicas_that_end_by_themselves_hold_nothing_back(self):
         self.routes = ("lookup", "filing", *PROMPT_ROUTES)
 
