Filings: a stopping router takes none of others that may outlast it

Callers of the own interface saw: a filing whose key names a stopping router was passed on to it, and its outcome was unknown when that router ended.

Cause: only the router that a caller is connected to checked whether a call ends before the process does; one that gets a filing of another router did not, also while it only waited for the filings that were running.

Change: such filings are answered "not run" unless their deadline ends before the process does; what has run before is told to the end.

--- a/bergamotmill/filings/manager.py
+++ b/bergamotmill/filings/manager.py
@@ -57,6 +57,8 @@
         self._ids = ids
         self.ledger = filing_ledger.Ledger(clock.wall)
         self._calls = background.Tasks()
+        # When this process ends, on the monotonic clock.
+        self._exits_at = float("inf")
         self._record_limit = token_bucket.TokenBucket(
             const.OUTCOME_RECORDS_PER_S,
             const.OUTCOME_RECORD_BURST,
@@ -71,6 +73,14 @@
             self._clock.monotonic(),
         )
 
+    def begin_shutdown(self, exits_at: float) -> None:
+        """Leaves out filings of other routers that may outlast this process.
+
+        Args:
+            exits_at: when the process ends, on the monotonic clock.
+        """
+        self._exits_at = exits_at
+
     def issue_token(self, customer: str) -> str:
         """Returns a token from which a customer builds its keys."""
         return keys.issue_token(
@@ -310,6 +320,14 @@
             )
         if keys.is_expired(key.issued_at, self._clock.wall()):
             return reply_of(messages.Outcome(State.EXPIRED))
+        if filing.deadline > self._exits_at and (
+            self.ledger.find(filing.customer, filing.key) is None
+        ):
+            return reply_of(
+                messages.Outcome(
+                    State.NOT_RUN, reason="the router of the key is stopping"
+                )
+            )
         claimed = isinstance(key, keys.FreeKey)
         return reply_of(await self._run_here(filing, key.issued_at, claimed))
 
--- a/bergamotmill/router.py
+++ b/bergamotmill/router.py
@@ -462,11 +462,15 @@
         """
         shutdown = self._settings.shutdown
         serves_for_s = shutdown.address_lifetime_s + shutdown.deadline_s
-        self.front.start_draining(self._clock.monotonic() + serves_for_s)
+        exits_at = self._clock.monotonic() + serves_for_s
+        self.front.start_draining(exits_at)
+        self.filings.begin_shutdown(exits_at)
         self.membership.leave()
         self.liveness.announce()
         await asyncio.sleep(shutdown.address_lifetime_s)
         drained = await self._servers[0].drain(shutdown.deadline_s)
+        # The process ends as soon as the filings that are running have ended.
+        self.filings.begin_shutdown(self._clock.monotonic())
         async with asyncio.timeout(shutdown.deadline_s):
             await self.filings.drain()
         return drained
--- a/tests/filings/test_manager.py
+++ b/tests/filings/test_manager.py
@@ -204,6 +204,27 @@
 
         self.run_cluster(scenario)
 
+    # LOST, own interface: a filing of another router was taken by one that was
+    # stopping, and its outcome was unknown.
+    def test_stopping_router_takes_no_filing_that_may_outlast_it(self):
+        async def scenario():
+            token = await self.fetch_token(0)
+            filings = self.cluster.routers[0].filings
+            filings.begin_shutdown(self.now() + 1.0)
+            status, response = await self.post(1, f"{token}.a")
+            self.assertEqual(
+                (status, response["error"]["run"]), (503, "not_run")
+            )
+            self.assertEqual(self.runs(), [])
+            filings.begin_shutdown(self.now() + 60.0)
+            self.assertEqual((await self.post(1, f"{token}.a"))[0], 201)
+            # What has run is told to the end.
+            filings.begin_shutdown(self.now())
+            self.assertEqual((await self.post(1, f"{token}.a"))[0], 201)
+            self.assertEqual(len(self.runs()), 1)
+
+        self.run_cluster(scenario)
+
     def test_forward_delayed_past_the_deadline_runs_at_most_once(self):
         async def scenario():
             key = await self.fetch_token(0) + ".a"
