--- a/bergamotmill/helpers/http_client.py
+++ b/bergamotmill/helpers/http_client.py
@@ -248,7 +248,7 @@
         self._parse_timer = None
         if self._error is not None:
             return
-        delay_s = self._meter.delay_s(self._loop.time())
+        delay_s = self._meter.delay_s(self._loop.time(), self.address)
         if delay_s:
             self._parse_timer = self._loop.call_later(
                 delay_s, self._continue_parsing
--- a/bergamotmill/helpers/http_server.py
+++ b/bergamotmill/helpers/http_server.py
@@ -611,7 +611,7 @@
         loop = asyncio.get_running_loop()
         await asyncio.sleep(0)
         while not self._disconnected:
-            delay_s = self._meter.delay_s(loop.time())
+            delay_s = self._meter.delay_s(loop.time(), self.peer_address)
             if not delay_s:
                 return
             await asyncio.sleep(delay_s)
--- a/bergamotmill/helpers/piece_pacing.py
+++ b/bergamotmill/helpers/piece_pacing.py
@@ -8,6 +8,7 @@
 while, so that its peer has to wait.
 """
 
+from bergamotmill.helpers import decisions
 from bergamotmill.util import token_bucket
 
 # Pieces of at least this size cost little for what they carry.
@@ -42,7 +43,7 @@
 class PieceMeter:
     """Counts the small pieces of one exchange."""
 
-    __slots__ = ("_shared", "_count", "_bucket")
+    __slots__ = ("_shared", "_count", "_bucket", "_is_paced")
 
     def __init__(self, shared: SharedPace):
         """Makes a meter for the first exchange of a connection.
@@ -53,11 +54,13 @@
         self._shared = shared
         self._count = 0
         self._bucket: token_bucket.TokenBucket | None = None
+        self._is_paced = False
 
     def restart(self) -> None:
         """Begins another exchange."""
         self._count = 0
         self._bucket = None
+        self._is_paced = False
 
     def ends_slice(self, size: int) -> bool:
         """Records a piece; returns whether others are to have their turn.
@@ -73,13 +76,15 @@
         self._count = 0
         return True
 
-    def delay_s(self, now: float) -> float:
+    def delay_s(self, now: float, peer: str = "") -> float:
         """Returns the time until the next slice may be parsed, in seconds.
 
-        0 if it may be parsed now: its allowance has been taken.
+        0 if it may be parsed now: its allowance has been taken. The first delay
+        of an exchange is logged.
 
         Args:
             now: the monotonic clock.
+            peer: address of the peer.
         """
         if self._bucket is None:
             self._bucket = token_bucket.TokenBucket(
@@ -87,4 +92,9 @@
             )
         if self._bucket.try_take(SLICE_PIECES, now):
             return 0.0
-        return 0.0 if self._shared.try_take(now) else RETRY_PERIOD_S
+        if self._shared.try_take(now):
+            return 0.0
+        if not self._is_paced:
+            self._is_paced = True
+            decisions.record("peer_paced", peer=peer)
+        return RETRY_PERIOD_S
