Command line: answers of a router may exceed a megabyte

Cause: the client of the command line relied on the former limit of 64 MB. Change: it names that limit itself. The other callers without a limit of their own (reports, cache events, KV offload look-ups, the demo) read a few kilobytes.

--- a/bergamotmill/cli/client.py
+++ b/bergamotmill/cli/client.py
@@ -10,6 +10,8 @@
 from bergamotmill.helpers import http_errors
 
 REQUEST_TIMEOUT_S = 15.0
+# A configuration with all its customers fits.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
 async def _send_request(
@@ -22,7 +24,14 @@
     data = b"" if body is None else json.dumps(body).encode()
     try:
         head, response_body = await http_client.fetch(
-            pool, address, method, target, headers, data, REQUEST_TIMEOUT_S
+            pool,
+            address,
+            method,
+            target,
+            headers,
+            data,
+            REQUEST_TIMEOUT_S,
+            MAX_ANSWER_BYTES,
         )
     finally:
         pool.close()
