Documents: one interface for what routers tell each other on a pull

Cause: with cache scopes and removed entries, the feed of documents had four interfaces, four fields and four setters for what peers add to a reply. Change: `PeerKnowledge`, implemented by the fleet, the cache scopes and the quarantine; the messages are the same.

--- a/bergamotmill/control/quarantine.py
+++ b/bergamotmill/control/quarantine.py
@@ -358,7 +358,17 @@
         else:
             self._apply(entry, message.sender)
 
-    def newest_notices(self) -> list[peer_pb2.QuarantineNotice]:
+    def add_to_reply(self, reply: peer_pb2.DocumentsReply) -> None:
+        """Adds the newest entries, which the store may not have yet."""
+        reply.quarantine.extend(self._newest_notices())
+
+    def merge_reply(self, source: str, reply: peer_pb2.DocumentsReply) -> None:
+        """Applies the entries in a peer's reply."""
+        del source
+        for notice in reply.quarantine:
+            self.on_notice(notice)
+
+    def _newest_notices(self) -> list[peer_pb2.QuarantineNotice]:
         """Returns messages with the newest entries, for a peer that starts."""
         entries = sorted(
             self._state.entries.values(), key=lambda item: -item.since_ms
--- a/bergamotmill/dispatch/cache_scopes.py
+++ b/bergamotmill/dispatch/cache_scopes.py
@@ -20,6 +20,7 @@
 
 from bergamotmill.dispatch import config
 from bergamotmill.helpers import decisions
+from bergamotmill.proto import peer_pb2
 
 # Length of the digest of the customers kept apart, in bytes.
 DIGEST_BYTES = 12
@@ -59,6 +60,15 @@
         if not self._isolated <= self._apart:
             self._keep_apart(self._isolated, "configuration")
 
+    def add_to_reply(self, reply: peer_pb2.DocumentsReply) -> None:
+        """Adds the customers that are kept apart to a reply to a peer."""
+        reply.configuration = self._version
+        reply.formerly_isolated.extend(sorted(self.formerly_isolated))
+
+    def merge_reply(self, source: str, reply: peer_pb2.DocumentsReply) -> None:
+        """Keeps the customers apart that a peer does."""
+        self.merge(source, reply.configuration, reply.formerly_isolated)
+
     def merge(self, source: str, version: int, names: Iterable[str]) -> None:
         """Keeps the customers apart that a peer does, to share its scope.
 
--- a/bergamotmill/dispatch/daemon.py
+++ b/bergamotmill/dispatch/daemon.py
@@ -159,9 +159,8 @@
             self._settings.weights.old_weights_max_age_s
             - const.STARTUP_OLD_WEIGHTS_S,
         )
-        self.feed.set_weights_ages(self.fleet)
-        self.feed.set_cache_scopes(self.fleet.cache_scopes)
-        self.feed.set_removals(self.fleet)
+        self.feed.add_peer_knowledge(self.fleet)
+        self.feed.add_peer_knowledge(self.fleet.cache_scopes)
         self.membership = fleet_membership.Membership(
             fleet_members.Member(
                 own.name,
@@ -241,7 +240,7 @@
             self._clock,
             self._rng,
         )
-        self.feed.set_prompt_entries(self.quarantine)
+        self.feed.add_peer_knowledge(self.quarantine)
         self.feed.add_listener(self._on_document)
 
     def _build_allowances(self) -> None:
--- a/bergamotmill/dispatch/documents.py
+++ b/bergamotmill/dispatch/documents.py
@@ -16,7 +16,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 import dataclasses
 import math
 import random
@@ -66,59 +66,17 @@
     return 0
 
 
-class WeightsAges(Protocol):
-    """Keeps the times since versions of weights became targets.
+class PeerKnowledge(Protocol):
+    """What routers know that the store does not tell, or not yet.
 
-    The store does not record these times, so routers exchange them.
+    They exchange it whenever one pulls documents from another.
     """
 
-    def known_ages(self) -> list[peer_pb2.WeightsAge]:
-        """Returns the ages that this process knows exactly."""
-
-    def merge_ages(
-        self, source: str, ages: Iterable[peer_pb2.WeightsAge]
-    ) -> None:
-        """Adds the ages that a peer knows."""
-
-
-class PromptEntries(Protocol):
-    """Keeps the quarantine entries, which the store may not have yet."""
-
-    def newest_notices(self) -> list[peer_pb2.QuarantineNotice]:
-        """Returns the newest entries."""
-
-    def on_notice(self, message: peer_pb2.QuarantineNotice) -> None:
-        """Applies an entry that a peer knows."""
+    def add_to_reply(self, reply: peer_pb2.DocumentsReply) -> None:
+        """Adds what this router knows to its reply to a pull."""
 
-
-class Removals(Protocol):
-    """Keeps the entries that were removed, which a restore brings back."""
-
-    def known_removals(self) -> list[peer_pb2.RemovedUpstream]:
-        """Returns the entries that were removed lately."""
-
-    def merge_removals(
-        self, source: str, removals: Iterable[peer_pb2.RemovedUpstream]
-    ) -> None:
-        """Adds the entries that a peer saw removed."""
-
-
-class CacheScopes(Protocol):
-    """Keeps the customers that do not share KV cache.
-
-    Those that were isolated before a router started are known to peers only.
-    """
-
-    @property
-    def version(self) -> int:
-        """Version of the configuration."""
-
-    @property
-    def formerly_isolated(self) -> Collection[str]:
-        """Customers that are kept apart although they are not isolated."""
-
-    def merge(self, source: str, version: int, names: Iterable[str]) -> None:
-        """Adds the customers that a peer keeps apart."""
+    def merge_reply(self, source: str, reply: peer_pb2.DocumentsReply) -> None:
+        """Takes over what a peer knows from its reply to a pull."""
 
 
 class StoreReaders(Protocol):
@@ -201,10 +159,7 @@
         )
         self._documents: dict[str, Document] = {}
         self._listeners: list[Listener] = []
-        self._ages: WeightsAges | None = None
-        self._prompt_entries: PromptEntries | None = None
-        self._cache_scopes: CacheScopes | None = None
-        self._removals: Removals | None = None
+        self._peer_knowledge: list[PeerKnowledge] = []
         # When the present call to the store was sent; None between calls.
         self._called_at: float | None = None
         # Whether the store should have answered that call by now.
@@ -303,21 +258,9 @@
         """
         self._listeners.append(listener)
 
-    def set_weights_ages(self, ages: WeightsAges) -> None:
-        """Sets the ages of weights to exchange with peers on each pull."""
-        self._ages = ages
-
-    def set_prompt_entries(self, entries: PromptEntries) -> None:
-        """Sets the quarantine entries to exchange with peers on each pull."""
-        self._prompt_entries = entries
-
-    def set_cache_scopes(self, scopes: CacheScopes) -> None:
-        """Sets the customers kept apart to exchange with peers on each pull."""
-        self._cache_scopes = scopes
-
-    def set_removals(self, removals: Removals) -> None:
-        """Sets the removed entries to exchange with peers on each pull."""
-        self._removals = removals
+    def add_peer_knowledge(self, knowledge: PeerKnowledge) -> None:
+        """Has knowledge exchanged with peers on each pull."""
+        self._peer_knowledge.append(knowledge)
 
     def document(self, key: str) -> Document | None:
         """Returns the latest known state of a key; None if it is unknown."""
@@ -758,17 +701,8 @@
     def _merge_reply(self, name: str, reply: peer_pb2.DocumentsReply) -> None:
         self._enter_era(reply.revision)
         self._adopt_all(name, reply.documents)
-        if self._ages is not None:
-            self._ages.merge_ages(name, reply.ages)
-        if self._prompt_entries is not None:
-            for notice in reply.quarantine:
-                self._prompt_entries.on_notice(notice)
-        if self._removals is not None:
-            self._removals.merge_removals(name, reply.removed)
-        if self._cache_scopes is not None:
-            self._cache_scopes.merge(
-                name, reply.configuration, reply.formerly_isolated
-            )
+        for knowledge in self._peer_knowledge:
+            knowledge.merge_reply(name, reply)
         if reply.revision >= self._revision and reply.HasField("age_ms"):
             current_at = self._now() - reply.age_ms / 1000
             self._confirmed_at = max(self._confirmed_at, current_at)
@@ -794,21 +728,14 @@
                 if version > asked.get(key, 0)
                 and self._documents[key].revision <= request.after_revision
             ]
-        entries = self._prompt_entries
-        scopes = self._cache_scopes
-        removals = self._removals
-        return peer_pb2.DocumentsReply(
+        reply = peer_pb2.DocumentsReply(
             documents=documents,
             revision=self._revision,
-            ages=[] if self._ages is None else self._ages.known_ages(),
-            quarantine=[] if entries is None else entries.newest_notices(),
             age_ms=self._age_ms(),
-            configuration=0 if scopes is None else scopes.version,
-            formerly_isolated=(
-                [] if scopes is None else sorted(scopes.formerly_isolated)
-            ),
-            removed=[] if removals is None else removals.known_removals(),
         )
+        for knowledge in self._peer_knowledge:
+            knowledge.add_to_reply(reply)
+        return reply
 
     def _documents_after(self, revision: int) -> list[peer_pb2.Document]:
         """Returns the documents that changed after a revision."""
--- a/bergamotmill/dispatch/fleet.py
+++ b/bergamotmill/dispatch/fleet.py
@@ -166,7 +166,17 @@
             for set_time in set_times.values()
         )
 
-    def known_ages(self) -> list[peer_pb2.WeightsAge]:
+    def add_to_reply(self, reply: peer_pb2.DocumentsReply) -> None:
+        """Adds ages of weights and removed entries to a reply to a peer."""
+        reply.ages.extend(self._known_ages())
+        reply.removed.extend(self._known_removals())
+
+    def merge_reply(self, source: str, reply: peer_pb2.DocumentsReply) -> None:
+        """Takes over ages of weights and removed entries from a peer."""
+        self._merge_ages(source, reply.ages)
+        self._merge_removals(source, reply.removed)
+
+    def _known_ages(self) -> list[peer_pb2.WeightsAge]:
         """Returns the ages of target versions, without estimated ones."""
         now = self._clock.boottime()
         return [
@@ -178,7 +188,7 @@
             if not set_time.estimated
         ]
 
-    def merge_ages(
+    def _merge_ages(
         self, source: str, ages: Iterable[peer_pb2.WeightsAge]
     ) -> None:
         """Replaces estimated ages by those that a peer knows."""
@@ -510,7 +520,7 @@
         for listener in self._removal_listeners:
             listener(entry)
 
-    def known_removals(self) -> list[peer_pb2.RemovedUpstream]:
+    def _known_removals(self) -> list[peer_pb2.RemovedUpstream]:
         """Returns the upstreams whose entries were removed lately."""
         since = self._now() - const.REMOVAL_MEMORY_S
         return [
@@ -520,7 +530,7 @@
             for name, removal in self.upstreams.removed_since(since).items()
         ]
 
-    def merge_removals(
+    def _merge_removals(
         self, source: str, removals: Iterable[peer_pb2.RemovedUpstream]
     ) -> None:
         """Drops the upstreams that a peer saw removed.
