--- a/review/rig3.py
+++ b/review/rig3.py
@@ -267,6 +267,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
+        # Requests that wait for their first token, and those that have one.
+        self.queued, self.active = 0, 0
         self.accepted = 0
         self.loading = False
         self.load = None
@@ -342,8 +344,8 @@
                 "models": self._models(),
                 "busy": self.loading,
                 "sequence": self.accepted,
-                "queued": 0,
-                "active": 0,
+                "queued": self.queued,
+                "active": self.active,
                 "kvUsed": 0,
                 "kvTotal": 1,
                 "handles": 0,
@@ -363,9 +365,10 @@
         else:
             run = {"id": headers.get("attempt-id"), "at": time.monotonic()}
             self.runs.append(run)
-            await self._run(run, headers, writer, base)
+            await self.run(run, headers, writer, base)
 
-    async def _run(self, run, headers, writer, base):
+    async def run(self, run, headers, writer, base):
+        """Runs a request and writes its answer."""
         base = {**base, "Response-Seal": f"seal.{run['id']}"}
         if not self.model:
             await asyncio.sleep(self.work_s)
